Add build skeleton, design page and core interfaces

Cause: an empty repository; the modules need shared interfaces before they can be written in parallel. Change: Maven modules, formatter and linter, design page, outside-system contracts, core interfaces and identifiers. Before: nothing. Conclusion: modules can now be filled in independently.

--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/error/ErrorCode.java
@@ -0,0 +1,67 @@
+package org.bergamothoist.core.error;
+
+/** Names the cause of a failure in answers, logs and the time line. */
+public enum ErrorCode {
+    /** The organisation's key is missing or unknown. */
+    UNAUTHENTICATED,
+    /** The request is malformed. */
+    INVALID_REQUEST,
+    /** A body, header or prompt is larger than its bound. */
+    TOO_LARGE,
+    /**
+     * The accepted sheet does not allow this organisation the model, adapter, version or service.
+     */
+    NOT_ENTITLED,
+    /** The organisation's limit or a queue is exhausted. */
+    LIMIT_EXCEEDED,
+    /** The deadline would pass before the first token. */
+    DEADLINE_UNREACHABLE,
+    /** The deadline passed after the request was sent to a target. */
+    DEADLINE_EXCEEDED,
+    /** No target with the model or service accepts work. */
+    NO_TARGET,
+    /** The daemon cannot confirm that its configuration is current. */
+    CONFIGURATION_STALE,
+    /** The daemon has no configuration yet. */
+    NOT_READY,
+    /** The log cannot be reached, so that a claim cannot be made. */
+    LOG_UNAVAILABLE,
+    /** The identifier of a non-idempotent request is outside the duplicate window. */
+    REQUEST_IDENTIFIER_EXPIRED,
+    /** A non-idempotent request has no identifier. */
+    REQUEST_IDENTIFIER_REQUIRED,
+    /** An earlier sending of this request holds its claim. */
+    REQUEST_ALREADY_CLAIMED,
+    /** An earlier sending of this request was answered. */
+    REQUEST_ALREADY_ANSWERED,
+    /** The request's content has crashed engines. */
+    REQUEST_QUARANTINED,
+    /** The target failed after the request was sent. */
+    TARGET_FAILED,
+    /** The target did not answer in time after the request was sent. */
+    TARGET_TIMEOUT,
+    /** The retry budget is exhausted. */
+    RETRY_BUDGET_EXHAUSTED,
+    /** The caller cancelled the request or closed its connection. */
+    CANCELLED,
+    /** The resume token is forged, expired or belongs to another organisation or request. */
+    INVALID_RESUME_TOKEN,
+    /** The stream can no longer be resumed. */
+    STREAM_LOST,
+    /** The daemon is stopping. */
+    STOPPING,
+    /** A setting is missing or wrong. */
+    INVALID_SETTINGS,
+    /** A sheet has faults. */
+    INVALID_SHEET,
+    /** A sheet was made from an older version than the current one. */
+    SHEET_CONFLICT,
+    /** A message between daemons is malformed or not authentic. */
+    INVALID_PEER_MESSAGE,
+    /** An outside system answered with an error or not at all. */
+    PLATFORM_UNAVAILABLE,
+    /** A guarantee was found broken. */
+    INVARIANT_VIOLATED,
+    /** An unexpected failure inside the daemon. */
+    INTERNAL
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/identity/EngineIncarnation.java
@@ -0,0 +1,17 @@
+package org.bergamothoist.core.identity;
+
+/**
+ * Names one run of an engine with one set of loaded weights. The engine reports a new value after
+ * each start and each weight load, since both invalidate its prefix cache.
+ */
+public record EngineIncarnation(String value) {
+
+    public EngineIncarnation {
+        Identifiers.require("engine incarnation", value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/identity/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable identifiers of organisations, daemons, targets, models and requests. */
+package org.bergamothoist.core.identity;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/invariant/package-info.java
@@ -0,0 +1,2 @@
+/** Guarantees asserted inside the running program. */
+package org.bergamothoist.core.invariant;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Live daemons, targets and the addresses that callers are given. */
+package org.bergamothoist.core.membership;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/package-info.java
@@ -0,0 +1,2 @@
+/** One daemon's decisions, wired together. */
+package org.bergamothoist.core.node;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/platform/CacheEventPage.java
@@ -0,0 +1,12 @@
+package org.bergamothoist.core.platform;
+
+import java.util.List;
+import org.bergamothoist.core.identity.EngineIncarnation;
+
+/** Cache events of one incarnation, in order of sequence, possibly with gaps. */
+public record CacheEventPage(EngineIncarnation incarnation, List<CacheEvent> events) {
+
+    public CacheEventPage {
+        events = List.copyOf(events);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/platform/ServiceClient.java
@@ -0,0 +1,9 @@
+package org.bergamothoist.core.platform;
+
+/** Talks to plain services. It never repeats a call on its own. */
+@FunctionalInterface
+public interface ServiceClient {
+
+    /** Sends a call. The returned stream's {@code request} counts parts of the body. */
+    EngineStream start(ServiceCall call, ServiceListener listener);
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prompt/package-info.java
@@ -0,0 +1,2 @@
+/** Prompts and the chained hashes of their blocks. */
+package org.bergamothoist.core.prompt;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/Fingerprint.java
@@ -0,0 +1,29 @@
+package org.bergamothoist.core.quarantine;
+
+import java.util.regex.Pattern;
+
+/**
+ * Identifies the content of a request, independent of the caller's identifier.
+ *
+ * @param hexadecimal SHA-256 over organisation, model key and prompt, in lower-case hexadecimal
+ */
+public record Fingerprint(String hexadecimal) implements Comparable<Fingerprint> {
+
+    private static final Pattern FORM = Pattern.compile("[0-9a-f]{64}");
+
+    public Fingerprint {
+        if (hexadecimal == null || !FORM.matcher(hexadecimal).matches()) {
+            throw new IllegalArgumentException("not a fingerprint: " + hexadecimal);
+        }
+    }
+
+    @Override
+    public int compareTo(Fingerprint other) {
+        return hexadecimal.compareTo(other.hexadecimal);
+    }
+
+    @Override
+    public String toString() {
+        return hexadecimal;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Identification of requests whose content crashes engines. */
+package org.bergamothoist.core.quarantine;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' sheets: content, parsing, acceptance and differences. */
+package org.bergamothoist.core.sheet;
