Add request chain, stream relay, quarantine and dispatchers

Cause: requests need one path from caller to target whose outcome is always one of three and always true. Before: interfaces only.

--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -0,0 +1,495 @@
+package org.bergamothoist.core.dispatch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.EngineAnswerStart;
+import org.bergamothoist.core.platform.EngineCall;
+import org.bergamothoist.core.platform.EngineClient;
+import org.bergamothoist.core.platform.EngineResume;
+import org.bergamothoist.core.platform.EngineStream;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetFailure;
+import org.bergamothoist.core.prompt.BlockHasher;
+import org.bergamothoist.core.quarantine.Fingerprint;
+import org.bergamothoist.core.quarantine.QuarantineController;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.request.Outcome;
+import org.bergamothoist.core.request.RequestFilter;
+import org.bergamothoist.core.stream.ResumeToken;
+import org.bergamothoist.core.stream.ResumeTokenCodec;
+import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.core.timeline.EventKind;
+import org.bergamothoist.core.timeline.Timeline;
+
+/**
+ * The last filter of the chain for completions: sends them to engines, retries where that is safe,
+ * and continues broken streams. Confined to the control thread.
+ */
+public final class CompletionDispatcher implements RequestFilter<CompletionExchange> {
+
+    private static final Duration WAIT_STEP = Duration.ofMillis(50);
+
+    private final Parts parts;
+    private final DispatchSettings settings;
+    private final Set<RunningCompletion> running = new LinkedHashSet<>();
+    private final Map<TargetId, Integer> suspectsByTarget = new HashMap<>();
+
+    /** Creates a dispatcher. */
+    public CompletionDispatcher(Parts parts, DispatchSettings settings) {
+        this.parts = parts;
+        this.settings = settings;
+    }
+
+    /** What the dispatcher works with. */
+    public record Parts(
+            EngineClient engineClient,
+            EngineChooser chooser,
+            TargetLookup targets,
+            EngineLossDetector lossDetector,
+            QuarantineController quarantine,
+            RetryPermit retryPermit,
+            DispatchObserver observer,
+            ResumeTokenCodec tokenCodec,
+            Scheduler scheduler,
+            InstantSource clock,
+            Timeline timeline) {}
+
+    /** Finds a target by its identifier. */
+    @FunctionalInterface
+    public interface TargetLookup {
+
+        /** Returns the target if it is known. */
+        Optional<Target> find(TargetId id);
+    }
+
+    @Override
+    public void apply(CompletionExchange exchange, Runnable proceed) {
+        RunningCompletion completion = new RunningCompletion(exchange, parts.clock().instant());
+        running.add(completion);
+        exchange.onFinish(outcome -> ended(completion, outcome));
+        if (exchange.resumePoint().isPresent()) {
+            resume(completion, exchange.resumePoint().get());
+            return;
+        }
+        dispatch(completion);
+    }
+
+    /** Returns the engines that run a suspect request of this daemon. */
+    public boolean runsSuspect(TargetId target) {
+        return suspectsByTarget.getOrDefault(target, 0) > 0;
+    }
+
+    /** Returns a running completion. */
+    public Optional<CompletionExchange> find(RequestId id) {
+        return running().stream().filter(exchange -> exchange.id().equals(id)).findFirst();
+    }
+
+    /** Returns all running completions. */
+    public Collection<CompletionExchange> running() {
+        return running.stream().map(RunningCompletion::exchange).toList();
+    }
+
+    private void dispatch(RunningCompletion completion) {
+        CompletionExchange exchange = completion.exchange();
+        if (exchange.finished()) {
+            return;
+        }
+        if (deadlinePassed(exchange)) {
+            exchange.fail(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before an engine");
+            return;
+        }
+        if (completion.attempts() >= settings.maximumAttempts()) {
+            exchange.fail(ErrorCode.TARGET_FAILED, "too many engines failed for this request");
+            return;
+        }
+        boolean suspect = parts.quarantine().isSuspect(exchange.fingerprint());
+        Optional<EngineChoice> choice =
+                parts.chooser().choose(exchange, Set.copyOf(completion.excluded()), suspect);
+        if (choice.isEmpty()) {
+            waitForEngine(completion);
+            return;
+        }
+        send(completion, choice.get(), suspect);
+    }
+
+    private boolean deadlinePassed(CompletionExchange exchange) {
+        return exchange.relay().nextPiece() == 0
+                && exchange.deadline()
+                        .map(deadline -> !parts.clock().instant().isBefore(deadline))
+                        .orElse(false);
+    }
+
+    private void waitForEngine(RunningCompletion completion) {
+        Instant giveUp = completion.startedAt().plus(settings.waitForEngine());
+        if (!parts.clock().instant().isBefore(giveUp)) {
+            completion
+                    .exchange()
+                    .fail(ErrorCode.NO_TARGET, "no engine with the model accepts the request");
+            return;
+        }
+        // Engines that failed once may have come back; the attempt limit still bounds the retries.
+        completion.excluded().clear();
+        parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
+    }
+
+    private void send(RunningCompletion completion, EngineChoice choice, boolean suspect) {
+        CompletionExchange exchange = completion.exchange();
+        int remaining = exchange.submission().maximumTokens() - exchange.relay().deliveredTokens();
+        int number = exchange.relay().beginAttempt();
+        EngineAttempt attempt = newAttempt(completion, choice, number, false);
+        if (remaining <= 0) {
+            exchange.relay().completed(number);
+            exchange.finish(new Outcome.Answered());
+            return;
+        }
+        occupy(completion, choice, attempt, suspect);
+        EngineCall call =
+                new EngineCall(
+                        choice.target(),
+                        exchange.id(),
+                        number,
+                        exchange.organisationId(),
+                        exchange.modelKey(),
+                        exchange.submission().prompt(),
+                        exchange.chain(),
+                        exchange.relay().deliveredText(),
+                        remaining,
+                        exchange.priority(),
+                        cacheSalt(exchange));
+        EngineStream stream = parts.engineClient().start(call, attempt);
+        exchange.relay().attach(number, stream);
+    }
+
+    private static String cacheSalt(CompletionExchange exchange) {
+        return Long.toHexString(BlockHasher.seed(exchange.organisationId(), exchange.modelKey()));
+    }
+
+    private void occupy(
+            RunningCompletion completion,
+            EngineChoice choice,
+            EngineAttempt attempt,
+            boolean suspect) {
+        CompletionExchange exchange = completion.exchange();
+        completion.begin(attempt);
+        if (suspect) {
+            suspectsByTarget.merge(choice.target().id(), 1, Integer::sum);
+            completion.suspectOn(choice.target().id());
+        }
+        exchange.attemptStarted();
+        parts.observer().onDispatched(exchange, choice);
+        parts.timeline()
+                .record(
+                        EventKind.REQUEST_DISPATCHED,
+                        exchange.id().toString(),
+                        choice.target().id() + " attempt " + attempt.number());
+    }
+
+    private void resume(RunningCompletion completion, CompletionExchange.ResumePoint point) {
+        CompletionExchange exchange = completion.exchange();
+        ResumeToken token = point.token();
+        // The engine has the request already, so that "not run" is ruled out from here on.
+        exchange.attemptStarted();
+        exchange.relay().continueFrom(point.nextPiece(), point.deliveredText().orElse(""));
+        Optional<Target> target = parts.targets().find(token.target());
+        if (target.isEmpty() || point.nextPiece() < token.basePiece()) {
+            continueElsewhere(completion);
+            return;
+        }
+        EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0);
+        int number = exchange.relay().beginAttempt(token.basePiece());
+        EngineAttempt attempt = newAttempt(completion, choice, number, true);
+        occupy(completion, choice, attempt, false);
+        parts.timeline()
+                .record(
+                        EventKind.STREAM_RESUMED,
+                        exchange.id().toString(),
+                        target.get().id() + " from piece " + point.nextPiece());
+        EngineStream stream =
+                parts.engineClient()
+                        .resume(
+                                new EngineResume(
+                                        target.get(),
+                                        token.incarnation(),
+                                        token.streamId(),
+                                        exchange.organisationId(),
+                                        point.nextPiece() - token.basePiece()),
+                                attempt);
+        exchange.relay().attach(number, stream);
+    }
+
+    private void continueElsewhere(RunningCompletion completion) {
+        CompletionExchange exchange = completion.exchange();
+        boolean textKnown =
+                exchange.relay().nextPiece() == 0 || !exchange.relay().deliveredText().isEmpty();
+        if (!exchange.repeatable() || !textKnown) {
+            exchange.finish(
+                    new Outcome.Unknown(
+                            ErrorCode.STREAM_LOST, "the engine no longer has the stream"));
+            return;
+        }
+        parts.timeline()
+                .record(
+                        EventKind.STREAM_CONTINUED,
+                        exchange.id().toString(),
+                        "from piece " + exchange.relay().nextPiece());
+        dispatch(completion);
+    }
+
+    private EngineAttempt newAttempt(
+            RunningCompletion completion, EngineChoice choice, int number, boolean resuming) {
+        return new EngineAttempt(
+                choice,
+                number,
+                completion.exchange().modelKey(),
+                completion.exchange().relay(),
+                new PostingHandler(completion),
+                parts.clock(),
+                resuming);
+    }
+
+    private void succeeded(RunningCompletion completion, EngineAttempt attempt) {
+        if (completion.current() != attempt) {
+            return;
+        }
+        if (completion.sawLoss()) {
+            parts.quarantine().completed(List.of(completion.exchange().fingerprint()));
+        }
+        completion.exchange().finish(new Outcome.Answered());
+    }
+
+    private void failed(
+            RunningCompletion completion, EngineAttempt attempt, TargetFailure failure) {
+        if (completion.current() != attempt || completion.exchange().finished()) {
+            return;
+        }
+        completion.exchange().relay().cancelAttempt();
+        release(completion);
+        switch (failure.kind()) {
+            case NOT_SENT -> notSent(completion, attempt);
+            case REFUSED -> refused(completion, attempt, failure);
+            case STREAM_UNKNOWN -> continueElsewhere(completion);
+            case BROKEN -> broken(completion, attempt, failure);
+            case FAILED -> retry(completion, attempt, failure.message());
+            default -> throw new IllegalStateException("unknown failure " + failure.kind());
+        }
+    }
+
+    private void notSent(RunningCompletion completion, EngineAttempt attempt) {
+        completion.exchange().attemptNotSent();
+        completion.excluded().add(attempt.target().id());
+        parts.observer().onConnectionFailed(attempt.target());
+        if (attempt.resuming()) {
+            continueElsewhere(completion);
+            return;
+        }
+        dispatch(completion);
+    }
+
+    private void refused(
+            RunningCompletion completion, EngineAttempt attempt, TargetFailure failure) {
+        parts.observer().onRefused(attempt.target());
+        retry(completion, attempt, failure.message());
+    }
+
+    private void broken(
+            RunningCompletion completion, EngineAttempt attempt, TargetFailure failure) {
+        completion.suspected(attempt);
+        parts.lossDetector()
+                .investigate(attempt.target(), attempt.incarnation())
+                .thenAccept(
+                        verdict -> {
+                            if (verdict == EngineLossDetector.Verdict.LOST) {
+                                engineLost(completion, attempt);
+                            } else {
+                                retry(completion, attempt, failure.message());
+                            }
+                        });
+    }
+
+    /**
+     * Reports the loss once for all requests that were on the engine, then goes on with this one.
+     */
+    private void engineLost(RunningCompletion completion, EngineAttempt attempt) {
+        CompletionExchange exchange = completion.exchange();
+        if (exchange.finished()) {
+            return;
+        }
+        parts.observer().onEngineLost(attempt.target(), attempt.incarnation());
+        completion.lost(attempt.target().id(), attempt.incarnation());
+        completion.excluded().add(attempt.target().id());
+        parts.quarantine()
+                .reportLoss(
+                        attempt.target().id(),
+                        attempt.incarnation(),
+                        suspects(exchange.fingerprint(), attempt))
+                .thenAccept(done -> afterLoss(completion));
+    }
+
+    private Set<Fingerprint> suspects(Fingerprint own, EngineAttempt attempt) {
+        Set<Fingerprint> suspects = new HashSet<>(Set.of(own));
+        for (RunningCompletion other : running) {
+            if (other.wasOn(attempt.target().id(), attempt.incarnation())) {
+                suspects.add(other.exchange().fingerprint());
+            }
+        }
+        return suspects;
+    }
+
+    private void afterLoss(RunningCompletion completion) {
+        CompletionExchange exchange = completion.exchange();
+        if (exchange.finished()) {
+            return;
+        }
+        if (parts.quarantine().isQuarantined(exchange.fingerprint())) {
+            parts.timeline()
+                    .record(
+                            EventKind.REQUEST_QUARANTINED,
+                            exchange.id().toString(),
+                            exchange.fingerprint().hexadecimal());
+            exchange.finish(
+                    new Outcome.Unknown(
+                            ErrorCode.REQUEST_QUARANTINED,
+                            "engines were lost while they ran this content"));
+            return;
+        }
+        if (!exchange.repeatable()) {
+            exchange.finish(new Outcome.Unknown(ErrorCode.TARGET_FAILED, "the engine was lost"));
+            return;
+        }
+        // A lost engine's requests are retried outside the budget: engines are lost rarely, and the
+        // number of retries is bounded by the requests that were on them.
+        continueElsewhere(completion);
+    }
+
+    private void retry(RunningCompletion completion, EngineAttempt attempt, String reason) {
+        CompletionExchange exchange = completion.exchange();
+        if (exchange.finished()) {
+            return;
+        }
+        completion.excluded().add(attempt.target().id());
+        if (!exchange.repeatable()) {
+            exchange.finish(new Outcome.Unknown(ErrorCode.TARGET_FAILED, reason));
+            return;
+        }
+        if (!parts.retryPermit().tryAcquire()) {
+            exchange.finish(new Outcome.Unknown(ErrorCode.RETRY_BUDGET_EXHAUSTED, reason));
+            return;
+        }
+        continueElsewhere(completion);
+    }
+
+    private void release(RunningCompletion completion) {
+        EngineAttempt attempt = completion.current();
+        if (attempt == null) {
+            return;
+        }
+        completion.end();
+        completion
+                .takeSuspectTarget()
+                .ifPresent(
+                        target ->
+                                suspectsByTarget.computeIfPresent(
+                                        target, (id, count) -> count == 1 ? null : count - 1));
+        parts.observer().onEnded(completion.exchange(), attempt.target());
+    }
+
+    private void ended(RunningCompletion completion, Outcome outcome) {
+        release(completion);
+        running.remove(completion);
+    }
+
+    /** Ends attempts without progress; to be called about once a second. */
+    public void checkProgress() {
+        for (RunningCompletion completion : List.copyOf(running)) {
+            EngineAttempt attempt = completion.current();
+            if (attempt == null || !completion.exchange().relay().hasDemand()) {
+                continue;
+            }
+            Duration limit =
+                    attempt.firstPieceSeen()
+                            ? settings.stallTimeout()
+                            : settings.firstPieceTimeout();
+            if (attempt.sinceProgress().compareTo(limit) > 0) {
+                failed(
+                        completion,
+                        attempt,
+                        new TargetFailure(
+                                TargetFailure.Kind.BROKEN, "the engine made no progress"));
+            }
+        }
+    }
+
+    /** Posts what happens to an attempt to the control thread. */
+    private final class PostingHandler implements EngineAttempt.Handler {
+
+        private final RunningCompletion completion;
+
+        PostingHandler(RunningCompletion completion) {
+            this.completion = completion;
+        }
+
+        @Override
+        public void onStarted(EngineAttempt attempt, EngineAnswerStart start) {
+            CompletionExchange exchange = completion.exchange();
+            exchange.relay()
+                    .started(
+                            attempt.number(),
+                            start.modelKey(),
+                            () -> parts.tokenCodec().encode(token(attempt, start)));
+            parts.scheduler()
+                    .execute(
+                            () ->
+                                    parts.observer()
+                                            .onAnswerStarted(exchange, attempt.target(), start));
+        }
+
+        private ResumeToken token(EngineAttempt attempt, EngineAnswerStart start) {
+            CompletionExchange exchange = completion.exchange();
+            return new ResumeToken(
+                    exchange.organisationId(),
+                    exchange.id(),
+                    exchange.fingerprint(),
+                    attempt.target().id(),
+                    start.incarnation(),
+                    start.streamId(),
+                    start.modelKey(),
+                    exchange.idempotent(),
+                    exchange.relay().basePiece(),
+                    parts.clock().instant().plus(settings.tokenLifetime()));
+        }
+
+        @Override
+        public void onFirstPiece(EngineAttempt attempt, Duration sinceDispatch) {
+            parts.scheduler()
+                    .execute(
+                            () ->
+                                    parts.observer()
+                                            .onFirstPiece(
+                                                    completion.exchange(),
+                                                    attempt.target(),
+                                                    sinceDispatch));
+        }
+
+        @Override
+        public void onCompleted(EngineAttempt attempt) {
+            parts.scheduler().execute(() -> succeeded(completion, attempt));
+        }
+
+        @Override
+        public void onFailed(EngineAttempt attempt, TargetFailure failure) {
+            parts.scheduler().execute(() -> failed(completion, attempt, failure));
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/RunningCompletion.java
@@ -0,0 +1,93 @@
+package org.bergamothoist.core.dispatch;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.request.CompletionExchange;
+
+/** A completion between its first dispatch and its end. Confined to the control thread. */
+final class RunningCompletion {
+
+    private final CompletionExchange exchange;
+    private final Instant startedAt;
+    private final Set<TargetId> excluded = new HashSet<>();
+    private final Set<EngineLoss> lossesSeen = new HashSet<>();
+    private int attempts;
+    private EngineAttempt current;
+    private EngineLoss investigated;
+    private TargetId suspectTarget;
+
+    RunningCompletion(CompletionExchange exchange, Instant startedAt) {
+        this.exchange = exchange;
+        this.startedAt = startedAt;
+    }
+
+    /** A run of an engine that was lost under this request. */
+    record EngineLoss(TargetId target, EngineIncarnation incarnation) {}
+
+    CompletionExchange exchange() {
+        return exchange;
+    }
+
+    Instant startedAt() {
+        return startedAt;
+    }
+
+    Set<TargetId> excluded() {
+        return excluded;
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    EngineAttempt current() {
+        return current;
+    }
+
+    void begin(EngineAttempt attempt) {
+        attempts++;
+        current = attempt;
+    }
+
+    void end() {
+        current = null;
+    }
+
+    void lost(TargetId target, EngineIncarnation incarnation) {
+        lossesSeen.add(new EngineLoss(target, incarnation));
+    }
+
+    boolean sawLoss() {
+        return !lossesSeen.isEmpty();
+    }
+
+    /** Notes that the request broke on an engine that may be lost. */
+    void suspected(EngineAttempt attempt) {
+        investigated = new EngineLoss(attempt.target().id(), attempt.incarnation());
+    }
+
+    /** Returns whether the request runs or broke last on this run of an engine. */
+    boolean wasOn(TargetId target, EngineIncarnation incarnation) {
+        if (current != null) {
+            return current.target().id().equals(target)
+                    && current.incarnation().equals(incarnation);
+        }
+        return new EngineLoss(target, incarnation).equals(investigated);
+    }
+
+    /** Notes that the request runs as a suspect on a target. */
+    void suspectOn(TargetId target) {
+        suspectTarget = target;
+    }
+
+    /** Returns and clears the target that the request runs on as a suspect. */
+    Optional<TargetId> takeSuspectTarget() {
+        Optional<TargetId> taken = Optional.ofNullable(suspectTarget);
+        suspectTarget = null;
+        return taken;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/ServiceDispatcher.java
@@ -0,0 +1,210 @@
+package org.bergamothoist.core.dispatch;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.EngineStream;
+import org.bergamothoist.core.platform.ServiceCall;
+import org.bergamothoist.core.platform.ServiceClient;
+import org.bergamothoist.core.platform.ServiceListener;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetFailure;
+import org.bergamothoist.core.request.Outcome;
+import org.bergamothoist.core.request.RequestFilter;
+import org.bergamothoist.core.request.ServiceExchange;
+import org.bergamothoist.core.request.ServiceSubmission;
+import org.bergamothoist.core.time.Scheduler;
+
+/**
+ * The last filter of the chain for plain services. A call is repeated only if no byte was sent, or
+ * if it is idempotent and the caller has no part of an answer. Confined to the control thread.
+ */
+public final class ServiceDispatcher implements RequestFilter<ServiceExchange> {
+
+    private final ServiceClient client;
+    private final ServiceChooser chooser;
+    private final RetryPermit retryPermit;
+    private final Consumer<Target> onConnectionFailed;
+    private final Scheduler scheduler;
+    private final int maximumAttempts;
+    private final Duration answerTimeout;
+    private final Set<ServiceExchange> running = new LinkedHashSet<>();
+    private final Map<TargetId, Integer> outstanding = new HashMap<>();
+
+    /** Creates a dispatcher. */
+    public ServiceDispatcher(
+            ServiceClient client,
+            ServiceChooser chooser,
+            RetryPermit retryPermit,
+            Consumer<Target> onConnectionFailed,
+            Scheduler scheduler,
+            DispatchSettings settings) {
+        this.client = client;
+        this.chooser = chooser;
+        this.retryPermit = retryPermit;
+        this.onConnectionFailed = onConnectionFailed;
+        this.scheduler = scheduler;
+        this.maximumAttempts = settings.maximumAttempts();
+        this.answerTimeout = settings.firstPieceTimeout();
+    }
+
+    @Override
+    public void apply(ServiceExchange exchange, Runnable proceed) {
+        running.add(exchange);
+        exchange.onFinish(outcome -> running.remove(exchange));
+        dispatch(exchange, new HashSet<>(), 0);
+    }
+
+    /** Returns a running call. */
+    public Optional<ServiceExchange> find(RequestId id) {
+        return running.stream().filter(exchange -> exchange.id().equals(id)).findFirst();
+    }
+
+    /** Returns all running calls. */
+    public Collection<ServiceExchange> running() {
+        return List.copyOf(running);
+    }
+
+    /** Returns the calls that this daemon has running at a target. */
+    public int outstanding(TargetId target) {
+        return outstanding.getOrDefault(target, 0);
+    }
+
+    private void dispatch(ServiceExchange exchange, Set<TargetId> excluded, int attempts) {
+        Optional<Target> target = chooser.choose(exchange.submission().service(), excluded);
+        if (target.isEmpty() || attempts >= maximumAttempts) {
+            exchange.fail(ErrorCode.NO_TARGET, "no instance of the service accepts the call");
+            return;
+        }
+        send(exchange, target.get(), excluded, attempts + 1);
+    }
+
+    private void send(
+            ServiceExchange exchange, Target target, Set<TargetId> excluded, int attempts) {
+        int number = exchange.relay().beginAttempt();
+        exchange.attemptStarted();
+        outstanding.merge(target.id(), 1, Integer::sum);
+        Attempt attempt = new Attempt(exchange, target, number, excluded, attempts);
+        ServiceSubmission submission = exchange.submission();
+        EngineStream stream =
+                client.start(
+                        new ServiceCall(
+                                target,
+                                exchange.id(),
+                                submission.method(),
+                                submission.pathAndQuery(),
+                                submission.headers(),
+                                submission.body()),
+                        attempt);
+        exchange.relay().attach(number, stream);
+        scheduler.schedule(answerTimeout, attempt::checkHead);
+    }
+
+    private void ended(Attempt attempt) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        outstanding.computeIfPresent(
+                attempt.target.id(), (id, count) -> count == 1 ? null : count - 1);
+    }
+
+    private void failed(Attempt attempt, TargetFailure failure) {
+        ended(attempt);
+        ServiceExchange exchange = attempt.exchange;
+        if (!exchange.relay().isCurrent(attempt.number)) {
+            return;
+        }
+        exchange.relay().cancelAttempt();
+        attempt.excluded.add(attempt.target.id());
+        if (failure.kind() == TargetFailure.Kind.NOT_SENT) {
+            exchange.attemptNotSent();
+            onConnectionFailed.accept(attempt.target);
+            dispatch(exchange, attempt.excluded, attempt.attempts);
+            return;
+        }
+        if (!exchange.repeatable() || exchange.relay().headDelivered()) {
+            exchange.finish(new Outcome.Unknown(ErrorCode.TARGET_FAILED, failure.message()));
+            return;
+        }
+        if (!retryPermit.tryAcquire()) {
+            exchange.finish(
+                    new Outcome.Unknown(ErrorCode.RETRY_BUDGET_EXHAUSTED, failure.message()));
+            return;
+        }
+        dispatch(exchange, attempt.excluded, attempt.attempts);
+    }
+
+    /** One dispatch; its events reach the relay at once and the control thread by posting. */
+    private final class Attempt implements ServiceListener {
+
+        private final ServiceExchange exchange;
+        private final Target target;
+        private final int number;
+        private final Set<TargetId> excluded;
+        private final int attempts;
+        private boolean ended;
+        private volatile boolean headSeen;
+
+        Attempt(
+                ServiceExchange exchange,
+                Target target,
+                int number,
+                Set<TargetId> excluded,
+                int attempts) {
+            this.exchange = exchange;
+            this.target = target;
+            this.number = number;
+            this.excluded = excluded;
+            this.attempts = attempts;
+            exchange.onFinish(outcome -> ended(this));
+        }
+
+        void checkHead() {
+            if (!headSeen && !ended) {
+                onFailed(
+                        new TargetFailure(
+                                TargetFailure.Kind.BROKEN, "the service did not answer in time"));
+            }
+        }
+
+        @Override
+        public void onSending() {
+            // Every started attempt already counts as possibly sent.
+        }
+
+        @Override
+        public void onHead(int status, Map<String, List<String>> headers) {
+            headSeen = true;
+            exchange.relay().head(number, status, headers);
+        }
+
+        @Override
+        public void onBody(ByteBuffer part) {
+            exchange.relay().body(number, part);
+        }
+
+        @Override
+        public void onCompleted() {
+            if (exchange.relay().completed(number)) {
+                scheduler.execute(() -> exchange.finish(new Outcome.Answered()));
+            }
+        }
+
+        @Override
+        public void onFailed(TargetFailure failure) {
+            scheduler.execute(() -> failed(this, failure));
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Sends requests to targets, retries, and continues broken streams. */
+package org.bergamothoist.core.dispatch;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/SizeFilter.java
@@ -0,0 +1,53 @@
+package org.bergamothoist.core.filter;
+
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.request.CompletionSubmission;
+import org.bergamothoist.core.request.Outcome;
+import org.bergamothoist.core.request.RequestFilter;
+
+/** Bounds the size of completions. */
+public final class SizeFilter implements RequestFilter<CompletionExchange> {
+
+    private static final int LOWEST_PRIORITY = 9;
+
+    private final int maximumPromptBytes;
+    private final int maximumTokens;
+
+    /**
+     * Creates a filter.
+     *
+     * @param maximumPromptBytes longest prompt in bytes of UTF-8
+     * @param maximumTokens most tokens that one request may generate
+     */
+    public SizeFilter(int maximumPromptBytes, int maximumTokens) {
+        this.maximumPromptBytes = maximumPromptBytes;
+        this.maximumTokens = maximumTokens;
+    }
+
+    @Override
+    public void apply(CompletionExchange exchange, Runnable proceed) {
+        CompletionSubmission submission = exchange.submission();
+        if (submission.prompt().text().length() > maximumPromptBytes
+                || submission.prompt().bytes().length > maximumPromptBytes) {
+            refuse(exchange, ErrorCode.TOO_LARGE, "the prompt exceeds its bound");
+            return;
+        }
+        if (submission.maximumTokens() < 1 || submission.maximumTokens() > maximumTokens) {
+            refuse(
+                    exchange,
+                    ErrorCode.INVALID_REQUEST,
+                    "maximum_tokens must be between 1 and " + maximumTokens);
+            return;
+        }
+        if (submission.priority() < 0 || submission.priority() > LOWEST_PRIORITY) {
+            refuse(exchange, ErrorCode.INVALID_REQUEST, "the priority must be between 0 and 9");
+            return;
+        }
+        proceed.run();
+    }
+
+    private static void refuse(CompletionExchange exchange, ErrorCode code, String message) {
+        exchange.finish(Outcome.notRun(code, message));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/package-info.java
@@ -0,0 +1,2 @@
+/** The steps that each request passes before it is dispatched. */
+package org.bergamothoist.core.filter;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/identity/EngineIncarnation.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/identity/EngineIncarnation.java
@@ -6,6 +6,9 @@
  */
 public record EngineIncarnation(String value) {
 
+    /** Stands for the incarnation of an engine that has not reported one yet. */
+    public static final EngineIncarnation UNKNOWN = new EngineIncarnation("unknown");
+
     public EngineIncarnation {
         Identifiers.require("engine incarnation", value);
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogRecord.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogRecord.java
@@ -92,8 +92,12 @@
         }
     }
 
-    /** Clears a fingerprint of suspicion, because it completed or an operator released it. */
-    record QuarantineRelease(Fingerprint fingerprint, String reason) implements LogRecord {}
+    /** Clears fingerprints of suspicion, because they completed or an operator released them. */
+    record QuarantineRelease(List<Fingerprint> fingerprints, String reason) implements LogRecord {
+        public QuarantineRelease {
+            fingerprints = List.copyOf(fingerprints);
+        }
+    }
 
     /** The fold of all records up to an offset, so that older records may expire. */
     record Checkpoint(DaemonId writer, long coveredOffset, String digest, SharedStateSnapshot state)
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/FingerprintCalculator.java
@@ -0,0 +1,42 @@
+package org.bergamothoist.core.quarantine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+
+/** Computes fingerprints of request contents. */
+public final class FingerprintCalculator {
+
+    private FingerprintCalculator() {}
+
+    /** Returns the fingerprint of a prompt for an organisation and a model. */
+    public static Fingerprint ofPrompt(
+            OrganisationId organisation, ModelKey key, byte[] promptBytes) {
+        MessageDigest digest = sha256();
+        update(digest, organisation.value());
+        update(digest, key.toString());
+        return new Fingerprint(HexFormat.of().formatHex(digest.digest(promptBytes)));
+    }
+
+    /** Returns the hexadecimal SHA-256 of a caller key, as sheets carry it. */
+    public static String keyDigest(String callerKey) {
+        return HexFormat.of()
+                .formatHex(sha256().digest(callerKey.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static void update(MessageDigest digest, String part) {
+        digest.update(part.getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("SHA-256 is missing from the platform", exception);
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/ServiceExchange.java
@@ -0,0 +1,51 @@
+package org.bergamothoist.core.request;
+
+import java.util.Set;
+import org.bergamothoist.core.stream.ServiceRelay;
+
+/**
+ * A call to a plain service on its way through the filter chain. Confined to the control thread.
+ */
+public final class ServiceExchange extends RequestExchange {
+
+    /** Methods that HTTP defines as idempotent; others are never repeated after a byte was sent. */
+    private static final Set<String> IDEMPOTENT_METHODS =
+            Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE");
+
+    private final ServiceSubmission submission;
+    private final ServiceRelay relay;
+
+    /** Creates an exchange. */
+    public ServiceExchange(
+            Head head,
+            ServiceSubmission submission,
+            ServiceRelay relay,
+            OutcomeGuard outcomeGuard) {
+        super(head, outcomeGuard);
+        this.submission = submission;
+        this.relay = relay;
+        if (!IDEMPOTENT_METHODS.contains(submission.method())) {
+            forbidRepeat();
+        }
+    }
+
+    /** Returns the call as the caller sent it. */
+    public ServiceSubmission submission() {
+        return submission;
+    }
+
+    /** Returns the relay to the caller. */
+    public ServiceRelay relay() {
+        return relay;
+    }
+
+    @Override
+    public int estimatedTokens() {
+        return 1;
+    }
+
+    @Override
+    protected void deliver(Outcome finalOutcome) {
+        relay.finish(finalOutcome);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/stream/ResumeTokenCodec.java
@@ -0,0 +1,145 @@
+package org.bergamothoist.core.stream;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.UUID;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.bergamothoist.core.error.BergamothoistException;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.quarantine.Fingerprint;
+
+/** Encodes resume tokens and authenticates them with HMAC-SHA-256. */
+public final class ResumeTokenCodec {
+
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int MAC_BYTES = 32;
+    private static final int MAXIMUM_TEXT_LENGTH = 2048;
+    private static final byte FORMAT_VERSION = 1;
+
+    /** Keeps token MACs apart from other uses of the deployment key. */
+    private static final byte[] PURPOSE = "resume-token".getBytes();
+
+    private final SecretKeySpec key;
+
+    /** Creates a codec with the deployment's key. */
+    public ResumeTokenCodec(byte[] deploymentKey) {
+        this.key = new SecretKeySpec(deploymentKey, ALGORITHM);
+    }
+
+    /** Returns the text form of the token. */
+    public String encode(ResumeToken token) {
+        byte[] body = write(token);
+        byte[] mac = mac(body);
+        byte[] whole = Arrays.copyOf(body, body.length + MAC_BYTES);
+        System.arraycopy(mac, 0, whole, body.length, MAC_BYTES);
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(whole);
+    }
+
+    /**
+     * Returns the token of the text form.
+     *
+     * @throws BergamothoistException with {@code INVALID_RESUME_TOKEN} if it is malformed, forged
+     *     or expired
+     */
+    public ResumeToken decode(String text, Instant now) {
+        if (text == null || text.length() > MAXIMUM_TEXT_LENGTH) {
+            throw invalid("the resume token is missing or too long");
+        }
+        byte[] whole = decodeBase64(text);
+        if (whole.length <= MAC_BYTES) {
+            throw invalid("the resume token is too short");
+        }
+        byte[] body = Arrays.copyOf(whole, whole.length - MAC_BYTES);
+        byte[] mac = Arrays.copyOfRange(whole, body.length, whole.length);
+        if (!MessageDigest.isEqual(mac, mac(body))) {
+            throw invalid("the resume token is not authentic");
+        }
+        ResumeToken token = read(body);
+        if (token.expiresAt().isBefore(now)) {
+            throw invalid("the resume token has expired");
+        }
+        return token;
+    }
+
+    private static byte[] decodeBase64(String text) {
+        try {
+            return Base64.getUrlDecoder().decode(text);
+        } catch (IllegalArgumentException exception) {
+            throw invalid("the resume token is not valid base64");
+        }
+    }
+
+    private static byte[] write(ResumeToken token) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream output = new DataOutputStream(bytes)) {
+            output.writeByte(FORMAT_VERSION);
+            output.writeUTF(token.organisation().value());
+            output.writeLong(token.requestId().value().getMostSignificantBits());
+            output.writeLong(token.requestId().value().getLeastSignificantBits());
+            output.writeUTF(token.content().hexadecimal());
+            output.writeUTF(token.target().value());
+            output.writeUTF(token.incarnation().value());
+            output.writeUTF(token.streamId());
+            output.writeUTF(token.modelKey().model());
+            output.writeUTF(token.modelKey().adapter());
+            output.writeUTF(token.modelKey().version());
+            output.writeBoolean(token.idempotent());
+            output.writeInt(token.basePiece());
+            output.writeLong(token.expiresAt().toEpochMilli());
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static ResumeToken read(byte[] body) {
+        try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(body))) {
+            if (input.readByte() != FORMAT_VERSION) {
+                throw invalid("the resume token has an unknown format");
+            }
+            return new ResumeToken(
+                    new OrganisationId(input.readUTF()),
+                    new RequestId(new UUID(input.readLong(), input.readLong())),
+                    new Fingerprint(input.readUTF()),
+                    new TargetId(input.readUTF()),
+                    new EngineIncarnation(input.readUTF()),
+                    input.readUTF(),
+                    new ModelKey(input.readUTF(), input.readUTF(), input.readUTF()),
+                    input.readBoolean(),
+                    input.readInt(),
+                    Instant.ofEpochMilli(input.readLong()));
+        } catch (IOException | IllegalArgumentException exception) {
+            throw invalid("the resume token is malformed");
+        }
+    }
+
+    private byte[] mac(byte[] body) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            mac.update(PURPOSE);
+            return mac.doFinal(body);
+        } catch (GeneralSecurityException exception) {
+            throw new IllegalStateException(ALGORITHM + " is missing from the platform", exception);
+        }
+    }
+
+    private static BergamothoistException invalid(String message) {
+        return new BergamothoistException(ErrorCode.INVALID_RESUME_TOKEN, message);
+    }
+}
