--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/ScriptedEngineClient.java
@@ -0,0 +1,104 @@
+package org.bergamothoist.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.BlockTransfer;
+import org.bergamothoist.core.platform.CacheEventPage;
+import org.bergamothoist.core.platform.CacheSnapshot;
+import org.bergamothoist.core.platform.EngineCall;
+import org.bergamothoist.core.platform.EngineClient;
+import org.bergamothoist.core.platform.EngineListener;
+import org.bergamothoist.core.platform.EngineReport;
+import org.bergamothoist.core.platform.EngineResume;
+import org.bergamothoist.core.platform.EngineStream;
+import org.bergamothoist.core.platform.PlatformException;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetOrder;
+
+/** An engine client whose events a test emits by hand. */
+final class ScriptedEngineClient implements EngineClient {
+
+    final List<Dispatch> dispatches = new ArrayList<>();
+    final List<EngineResume> resumes = new ArrayList<>();
+    final Map<TargetId, EngineIncarnation> running = new HashMap<>();
+
+    /** One dispatch and what was asked of it. */
+    static final class Dispatch implements EngineStream {
+        final EngineCall call;
+        final EngineListener listener;
+        int requested;
+        boolean cancelled;
+
+        Dispatch(EngineCall call, EngineListener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+
+        @Override
+        public void request(int pieces) {
+            requested += pieces;
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+        }
+    }
+
+    Dispatch last() {
+        return dispatches.get(dispatches.size() - 1);
+    }
+
+    @Override
+    public EngineStream start(EngineCall call, EngineListener listener) {
+        Dispatch dispatch = new Dispatch(call, listener);
+        dispatches.add(dispatch);
+        return dispatch;
+    }
+
+    @Override
+    public EngineStream resume(EngineResume resume, EngineListener listener) {
+        resumes.add(resume);
+        Dispatch dispatch = new Dispatch(null, listener);
+        dispatches.add(dispatch);
+        return dispatch;
+    }
+
+    @Override
+    public CompletionStage<EngineReport> report(Target target) {
+        EngineIncarnation incarnation = running.get(target.id());
+        if (incarnation == null) {
+            return CompletableFuture.failedFuture(new PlatformException("connection refused"));
+        }
+        return CompletableFuture.completedFuture(
+                new EngineReport(incarnation, List.of(), 0, 0, null, 0, false, false));
+    }
+
+    @Override
+    public CompletionStage<CacheEventPage> cacheEvents(Target target, long afterSequence) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<CacheSnapshot> cacheSnapshot(Target target) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Void> order(Target target, TargetOrder order) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Void> transferBlocks(
+            Target target, OrganisationId organisation, BlockTransfer transfer) {
+        throw new UnsupportedOperationException();
+    }
+}
