--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/ClaimController.java
@@ -0,0 +1,317 @@
+package org.bergamothoist.core.claim;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.random.RandomGenerator;
+import org.bergamothoist.core.claim.ClaimResult.Granted;
+import org.bergamothoist.core.claim.ClaimResult.HeldByOther;
+import org.bergamothoist.core.claim.ClaimResult.IdentifierExpired;
+import org.bergamothoist.core.claim.ClaimResult.LogUnavailable;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.log.FoldResult;
+import org.bergamothoist.core.log.FoldResult.ClaimsDecided;
+import org.bergamothoist.core.log.FoldResult.RefusedClaim;
+import org.bergamothoist.core.log.LogRecord.ClaimBatch;
+import org.bergamothoist.core.log.LogRecord.ClaimKey;
+import org.bergamothoist.core.log.LogRecord.ClaimOutcome;
+import org.bergamothoist.core.log.LogTail;
+import org.bergamothoist.core.log.LogTailListener;
+import org.bergamothoist.core.log.SharedState;
+import org.bergamothoist.core.log.SharedStateSnapshot.ClaimState;
+import org.bergamothoist.core.platform.LogEntry;
+import org.bergamothoist.core.platform.LogService;
+import org.bergamothoist.core.time.Scheduler;
+
+/**
+ * Claims requests through the log for one daemon incarnation. Confined to the control thread.
+ *
+ * <p>A claim counts only when the fold shows it with the batch it was sent in. For each grant at
+ * most one release is ever appended: a second one could take effect late and free a newer claim on
+ * the same request.
+ */
+public final class ClaimController implements LogTailListener {
+
+    /** Time during which claims are collected for one append. */
+    static final Duration BATCH_WINDOW = Duration.ofMillis(20);
+
+    /** Smallest time between two appends, so that a daemon appends at most 10 times a second. */
+    static final Duration APPEND_INTERVAL = Duration.ofMillis(100);
+
+    /** Most claims, releases and outcomes in one append. */
+    static final int MAXIMUM_BATCH = 256;
+
+    /** How far a caller's clock may be ahead. */
+    static final Duration CLOCK_SKEW = Duration.ofMinutes(1);
+
+    private final DaemonId self;
+    private final LogService log;
+    private final LogTail tail;
+    private final SharedState state;
+    private final Scheduler scheduler;
+    private final InstantSource clock;
+    private final RandomGenerator random;
+
+    private final Map<ClaimKey, PendingClaim> pending = new HashMap<>();
+    private final Map<ClaimKey, Long> granted = new HashMap<>();
+    private final AbandonedClaims abandoned = new AbandonedClaims();
+    private final Deque<PendingClaim> claimQueue = new ArrayDeque<>();
+    private final Deque<ClaimKey> releaseQueue = new ArrayDeque<>();
+    private final Deque<ClaimOutcome> outcomeQueue = new ArrayDeque<>();
+    private Instant lastAppendAt = Instant.EPOCH;
+    private boolean flushScheduled;
+
+    /** A claim that waits for its confirmation. */
+    private static final class PendingClaim {
+        private final ClaimKey key;
+        private final CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+        private UUID batchId;
+        private Scheduler.Cancellable deadline = () -> {};
+
+        PendingClaim(ClaimKey key) {
+            this.key = key;
+        }
+    }
+
+    public ClaimController(
+            DaemonId self,
+            LogService log,
+            LogTail tail,
+            SharedState state,
+            Scheduler scheduler,
+            InstantSource clock,
+            RandomGenerator random) {
+        this.self = self;
+        this.log = log;
+        this.tail = tail;
+        this.state = state;
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.random = random;
+        tail.addListener(this);
+    }
+
+    /**
+     * Claims a request. The result is {@link LogUnavailable} if the claim is not confirmed before
+     * the deadline; a claim that shows up later is released and never used.
+     */
+    public CompletionStage<ClaimResult> claim(ClaimKey key, Duration deadline) {
+        Optional<ClaimResult> refusal = refusal(key);
+        if (refusal.isPresent()) {
+            return CompletableFuture.completedFuture(refusal.get());
+        }
+        PendingClaim claim = new PendingClaim(key);
+        pending.put(key, claim);
+        claimQueue.add(claim);
+        claim.deadline = scheduler.schedule(deadline, () -> abandon(claim));
+        scheduleFlush();
+        return claim.result;
+    }
+
+    private Optional<ClaimResult> refusal(ClaimKey key) {
+        if (isOutsideWindow(key)) {
+            return Optional.of(new IdentifierExpired());
+        }
+        Optional<ClaimState> existing = state.claim(key);
+        if (existing.isPresent()) {
+            return Optional.of(new HeldByOther(existing.get().answered()));
+        }
+        if (pending.containsKey(key)) {
+            return Optional.of(new HeldByOther(false));
+        }
+        return tail.isReachable() ? Optional.empty() : Optional.of(new LogUnavailable());
+    }
+
+    private boolean isOutsideWindow(ClaimKey key) {
+        Instant created = key.requestId().creationTime();
+        Instant now = clock.instant();
+        return created.isBefore(now.minus(SharedState.DUPLICATE_WINDOW))
+                || created.isAfter(now.plus(CLOCK_SKEW))
+                || state.isExpired(key);
+    }
+
+    /**
+     * Gives a granted claim back. Only allowed if no byte of the request was sent.
+     *
+     * @throws IllegalStateException if the claim is not granted or has ended
+     */
+    public void release(ClaimKey key) {
+        queueRelease(key, endGrant(key));
+    }
+
+    private void queueRelease(ClaimKey key, long offset) {
+        abandoned.markReleased(key, offset);
+        releaseQueue.add(key);
+        scheduleFlush();
+    }
+
+    /**
+     * Ends a granted claim after the request was sent. An outcome other than answered is not
+     * recorded, since the log's state without an outcome already means unknown.
+     *
+     * @throws IllegalStateException if the claim is not granted or has ended
+     */
+    public void recordOutcome(ClaimKey key, boolean answered) {
+        endGrant(key);
+        if (answered) {
+            outcomeQueue.add(new ClaimOutcome(key, true));
+            scheduleFlush();
+        }
+    }
+
+    private long endGrant(ClaimKey key) {
+        Long offset = granted.remove(key);
+        if (offset == null) {
+            throw new IllegalStateException("claim is not held: " + key.requestId());
+        }
+        return offset;
+    }
+
+    /** Returns the number of releases and outcomes that have not been handed to the log. */
+    public int unsent() {
+        return releaseQueue.size() + outcomeQueue.size();
+    }
+
+    private void abandon(PendingClaim claim) {
+        if (pending.remove(claim.key, claim)) {
+            claimQueue.remove(claim);
+            if (claim.batchId != null) {
+                abandoned.add(claim.key);
+            }
+            claim.result.complete(new LogUnavailable());
+        }
+    }
+
+    private void scheduleFlush() {
+        if (flushScheduled) {
+            return;
+        }
+        flushScheduled = true;
+        Instant now = clock.instant();
+        Duration untilAllowed = Duration.between(now, lastAppendAt.plus(APPEND_INTERVAL));
+        Duration delay = untilAllowed.compareTo(BATCH_WINDOW) > 0 ? untilAllowed : BATCH_WINDOW;
+        scheduler.schedule(delay, this::flush);
+    }
+
+    private void flush() {
+        flushScheduled = false;
+        if (!tail.isReachable()) {
+            // Claims that were not handed to the log cannot show up, so they may be tried again.
+            List.copyOf(claimQueue).forEach(this::abandon);
+            if (unsent() > 0) {
+                scheduleRetry();
+            }
+            return;
+        }
+        abandoned.prune(state::isExpired);
+        append(nextBatch());
+        if (!claimQueue.isEmpty() || unsent() > 0) {
+            scheduleFlush();
+        }
+    }
+
+    private void scheduleRetry() {
+        flushScheduled = true;
+        scheduler.schedule(APPEND_INTERVAL, this::flush);
+    }
+
+    private ClaimBatch nextBatch() {
+        UUID batchId = new UUID(random.nextLong(), random.nextLong());
+        List<ClaimKey> claims = new ArrayList<>();
+        List<ClaimKey> releases = new ArrayList<>();
+        List<ClaimOutcome> outcomes = new ArrayList<>();
+        while (claims.size() < MAXIMUM_BATCH && !claimQueue.isEmpty()) {
+            PendingClaim claim = claimQueue.remove();
+            claim.batchId = batchId;
+            claims.add(claim.key);
+        }
+        while (claims.size() + releases.size() < MAXIMUM_BATCH && !releaseQueue.isEmpty()) {
+            releases.add(releaseQueue.remove());
+        }
+        int used = claims.size() + releases.size();
+        while (used + outcomes.size() < MAXIMUM_BATCH && !outcomeQueue.isEmpty()) {
+            outcomes.add(outcomeQueue.remove());
+        }
+        return new ClaimBatch(batchId, self, claims, releases, outcomes);
+    }
+
+    private void append(ClaimBatch batch) {
+        boolean empty =
+                batch.claims().isEmpty()
+                        && batch.releases().isEmpty()
+                        && batch.outcomes().isEmpty();
+        if (empty) {
+            return;
+        }
+        lastAppendAt = clock.instant();
+        // Whatever the answer is, only the fold decides; the answer is a sign that a read pays.
+        send(batch).whenCompleteAsync((offset, failure) -> tail.readNow(), scheduler);
+    }
+
+    private CompletionStage<Long> send(ClaimBatch batch) {
+        try {
+            return log.append(batch);
+        } catch (RuntimeException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+    }
+
+    @Override
+    public void onApplied(LogEntry entry, FoldResult result) {
+        if (result instanceof ClaimsDecided decided && decided.holder().equals(self)) {
+            decided.granted().forEach(claim -> onGranted(decided.batchId(), claim));
+            decided.refused().forEach(refused -> onRefused(decided.batchId(), refused));
+        }
+    }
+
+    private void onGranted(UUID batchId, ClaimState claim) {
+        PendingClaim waiting = pending.get(claim.key());
+        if (waiting == null || !batchId.equals(waiting.batchId)) {
+            queueRelease(claim.key(), claim.offset());
+            return;
+        }
+        abandoned.remove(claim.key());
+        granted.put(claim.key(), claim.offset());
+        finish(waiting, new Granted(claim.offset()));
+    }
+
+    private void onRefused(UUID batchId, RefusedClaim refused) {
+        PendingClaim waiting = pending.get(refused.key());
+        if (waiting == null || !batchId.equals(waiting.batchId)) {
+            return;
+        }
+        ClaimResult result =
+                refused.existing()
+                        .<ClaimResult>map(claim -> new HeldByOther(claim.answered()))
+                        .orElseGet(IdentifierExpired::new);
+        finish(waiting, result);
+    }
+
+    private void finish(PendingClaim claim, ClaimResult result) {
+        claim.deadline.cancel();
+        pending.remove(claim.key);
+        claim.result.complete(result);
+    }
+
+    @Override
+    public void onRestored(long appliedOffset) {
+        // The records that decided these claims may have been skipped.
+        for (PendingClaim claim : List.copyOf(pending.values())) {
+            if (claim.batchId != null) {
+                claim.deadline.cancel();
+                abandon(claim);
+            }
+        }
+        abandoned.heldBy(self, state).forEach(claim -> queueRelease(claim.key(), claim.offset()));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Claims that make a non-idempotent request run at most once. */
+package org.bergamothoist.core.claim;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SharedStateSnapshot.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SharedStateSnapshot.java
@@ -3,6 +3,8 @@
 import java.time.Instant;
 import java.util.List;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.sheet.OrganisationState;
 import org.bergamothoist.core.sheet.SheetVerdict;
@@ -75,6 +77,22 @@
      *
      * @param losses number of distinct engine incarnations lost with it
      * @param expiresAt end of the quarantine by the log's time
+     * @param engines the lost incarnations, in the order of their reports; without them a repeated
+     *     report would count twice after a restore
      */
-    public record Suspicion(Fingerprint fingerprint, int losses, Instant expiresAt) {}
+    public record Suspicion(
+            Fingerprint fingerprint, int losses, Instant expiresAt, List<LostEngine> engines) {
+
+        public Suspicion {
+            engines = List.copyOf(engines);
+        }
+
+        /** Creates a suspicion whose lost engines are not known. */
+        public Suspicion(Fingerprint fingerprint, int losses, Instant expiresAt) {
+            this(fingerprint, losses, expiresAt, List.of());
+        }
+    }
+
+    /** An engine incarnation that was lost. */
+    public record LostEngine(TargetId target, EngineIncarnation incarnation) {}
 }
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SuspicionTable.java
@@ -0,0 +1,108 @@
+package org.bergamothoist.core.log;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.bergamothoist.core.log.FoldResult.SuspicionsChanged;
+import org.bergamothoist.core.log.FoldResult.Unchanged;
+import org.bergamothoist.core.log.LogRecord.LossReport;
+import org.bergamothoist.core.log.LogRecord.QuarantineRelease;
+import org.bergamothoist.core.log.SharedStateSnapshot.LostEngine;
+import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
+import org.bergamothoist.core.quarantine.Fingerprint;
+
+/** The fingerprints that were on lost engines. */
+final class SuspicionTable {
+
+    /** How long a fingerprint is remembered after the last counted loss. */
+    static final Duration QUARANTINE = Duration.ofHours(1);
+
+    /** Most losses counted; two suffice for quarantine, and the list is part of checkpoints. */
+    static final int MAXIMUM_LOSSES = 8;
+
+    private static final Comparator<Suspicion> EXPIRY_ORDER =
+            Comparator.comparing(Suspicion::expiresAt).thenComparing(Suspicion::fingerprint);
+
+    private final TreeMap<Fingerprint, Suspicion> suspicions = new TreeMap<>();
+    private final TreeSet<Suspicion> byExpiry = new TreeSet<>(EXPIRY_ORDER);
+
+    FoldResult count(Instant logTime, LossReport report) {
+        LostEngine engine = new LostEngine(report.target(), report.incarnation());
+        List<Suspicion> counted = new ArrayList<>();
+        for (Fingerprint fingerprint : report.suspects()) {
+            Suspicion earlier = suspicions.get(fingerprint);
+            if (earlier != null && !isNewLoss(earlier, engine)) {
+                continue;
+            }
+            Suspicion suspicion = counted(fingerprint, earlier, engine, logTime);
+            remove(fingerprint);
+            put(suspicion);
+            counted.add(suspicion);
+        }
+        return counted.isEmpty() ? new Unchanged() : new SuspicionsChanged(counted, List.of());
+    }
+
+    private static boolean isNewLoss(Suspicion earlier, LostEngine engine) {
+        return earlier.losses() < MAXIMUM_LOSSES && !earlier.engines().contains(engine);
+    }
+
+    private static Suspicion counted(
+            Fingerprint fingerprint, Suspicion earlier, LostEngine engine, Instant logTime) {
+        List<LostEngine> engines = new ArrayList<>();
+        int losses = 1;
+        if (earlier != null) {
+            engines.addAll(earlier.engines());
+            losses = earlier.losses() + 1;
+        }
+        engines.add(engine);
+        return new Suspicion(fingerprint, losses, logTime.plus(QUARANTINE), engines);
+    }
+
+    FoldResult release(QuarantineRelease release) {
+        if (remove(release.fingerprint()) == null) {
+            return new Unchanged();
+        }
+        return new SuspicionsChanged(List.of(), List.of(release.fingerprint()));
+    }
+
+    /** Removes expired suspicions. */
+    void prune(Instant logTime) {
+        while (!byExpiry.isEmpty() && !byExpiry.first().expiresAt().isAfter(logTime)) {
+            remove(byExpiry.first().fingerprint());
+        }
+    }
+
+    private void put(Suspicion suspicion) {
+        suspicions.put(suspicion.fingerprint(), suspicion);
+        byExpiry.add(suspicion);
+    }
+
+    private Suspicion remove(Fingerprint fingerprint) {
+        Suspicion suspicion = suspicions.remove(fingerprint);
+        if (suspicion != null) {
+            byExpiry.remove(suspicion);
+        }
+        return suspicion;
+    }
+
+    Optional<Suspicion> suspicion(Fingerprint fingerprint) {
+        return Optional.ofNullable(suspicions.get(fingerprint));
+    }
+
+    Collection<Suspicion> suspicions() {
+        return Collections.unmodifiableCollection(suspicions.values());
+    }
+
+    void restore(List<Suspicion> states) {
+        suspicions.clear();
+        byExpiry.clear();
+        states.forEach(this::put);
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/OrganisationEntry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/OrganisationEntry.java
@@ -1,11 +1,13 @@
 package org.bergamothoist.core.sheet;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import org.bergamothoist.core.identity.OrganisationId;
 
 /**
- * What a sheet says of one organisation.
+ * What a sheet says of one organisation. Models and services are sorted, so that equal content does
+ * not depend on the order of a sheet's rows.
  *
  * @param keyDigest hexadecimal SHA-256 of the organisation's caller key
  * @param baseVersion version of the organisation that the sheet was made from, 0 for a new one
@@ -18,12 +20,23 @@
         List<ServiceEntitlement> services,
         OrganisationLimits limits) {
 
+    private static final Comparator<Entitlement> MODEL_ORDER =
+            Comparator.comparing((Entitlement entitlement) -> entitlement.key().model())
+                    .thenComparing(entitlement -> entitlement.key().adapter())
+                    .thenComparing(entitlement -> entitlement.key().version())
+                    .thenComparing(Entitlement::nonIdempotent);
+
+    private static final Comparator<ServiceEntitlement> SERVICE_ORDER =
+            Comparator.comparing(ServiceEntitlement::service)
+                    .thenComparing(ServiceEntitlement::pathPrefix)
+                    .thenComparing(ServiceEntitlement::nonIdempotent);
+
     public OrganisationEntry {
         Objects.requireNonNull(organisation);
         Objects.requireNonNull(keyDigest);
         Objects.requireNonNull(limits);
-        models = List.copyOf(models);
-        services = List.copyOf(services);
+        models = models.stream().sorted(MODEL_ORDER).toList();
+        services = services.stream().sorted(SERVICE_ORDER).toList();
     }
 
     /** Returns whether both entries say the same, base versions aside. */
