Add cache index, placement policies and admission

Requests need a choice of engine by cached prefix and load, and bounded fair queues in front of it. First cut without measurement; the classes have no tests yet.

--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/cache/BlockPopularity.java
@@ -0,0 +1,104 @@
+package org.bergamothoist.core.cache;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.function.LongConsumer;
+
+/**
+ * Counts how often blocks were asked for lately. The table is 4-way set associative and bounded;
+ * the least popular block of a full set is forgotten. Counts decay with a half-life.
+ */
+public final class BlockPopularity {
+
+    private static final int WAYS = 4;
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
+    private final InstantSource clock;
+    private final Instant start;
+    private final double halfLifeMilliseconds;
+    private final long[] hashes;
+    private final float[] counts;
+    private final int[] updatedAt;
+    private final int setMask;
+
+    BlockPopularity(int entries, Duration halfLife, InstantSource clock) {
+        this.clock = clock;
+        this.start = clock.instant();
+        this.halfLifeMilliseconds = halfLife.toMillis();
+        int sets = Integer.highestOneBit(Math.max(2, entries / WAYS) - 1) << 1;
+        this.setMask = sets - 1;
+        this.hashes = new long[sets * WAYS];
+        this.counts = new float[sets * WAYS];
+        this.updatedAt = new int[sets * WAYS];
+    }
+
+    /** Counts one request for the block. */
+    void add(long hash, float weight) {
+        int now = now();
+        int slot = slotFor(hash, now);
+        counts[slot] = (float) (hashes[slot] == hash ? decayed(slot, now) + weight : weight);
+        hashes[slot] = hash;
+        updatedAt[slot] = now;
+    }
+
+    /** Returns the decayed number of requests for the block, 0 if unknown. */
+    public double count(long hash) {
+        int slot = find(hash);
+        return slot < 0 ? 0 : decayed(slot, now());
+    }
+
+    /** Returns the estimated requests a second for the block. */
+    public double rate(long hash) {
+        return count(hash) * Math.log(2) * MILLISECONDS_PER_SECOND / halfLifeMilliseconds;
+    }
+
+    void forEach(double minimumCount, LongConsumer action) {
+        int now = now();
+        for (int slot = 0; slot < hashes.length; slot++) {
+            if (counts[slot] > 0 && decayed(slot, now) >= minimumCount) {
+                action.accept(hashes[slot]);
+            }
+        }
+    }
+
+    private int slotFor(long hash, int now) {
+        int first = firstOfSet(hash);
+        int weakest = first;
+        for (int slot = first; slot < first + WAYS; slot++) {
+            if (hashes[slot] == hash && counts[slot] > 0) {
+                return slot;
+            }
+            if (decayed(slot, now) < decayed(weakest, now)) {
+                weakest = slot;
+            }
+        }
+        hashes[weakest] = ~hash;
+        return weakest;
+    }
+
+    private int find(long hash) {
+        int first = firstOfSet(hash);
+        for (int slot = first; slot < first + WAYS; slot++) {
+            if (hashes[slot] == hash && counts[slot] > 0) {
+                return slot;
+            }
+        }
+        return -1;
+    }
+
+    private int firstOfSet(long hash) {
+        return ((int) (hash >>> 32) & setMask) * WAYS;
+    }
+
+    private double decayed(int slot, int now) {
+        if (counts[slot] == 0) {
+            return 0;
+        }
+        return counts[slot] * Math.pow(0.5, (now - updatedAt[slot]) / halfLifeMilliseconds);
+    }
+
+    private int now() {
+        return (int) (clock.millis() - start.toEpochMilli());
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/cache/CacheIndex.java
@@ -0,0 +1,382 @@
+package org.bergamothoist.core.cache;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.invariant.Guarantee;
+import org.bergamothoist.core.invariant.InvariantMonitor;
+import org.bergamothoist.core.peer.PeerMessage.HotPrefix;
+import org.bergamothoist.core.platform.CacheEvent;
+import org.bergamothoist.core.platform.CacheEventPage;
+import org.bergamothoist.core.platform.CacheSnapshot;
+import org.bergamothoist.core.prompt.BlockChain;
+
+/**
+ * Knows which block each target's current engine incarnation probably holds. Entries come from
+ * dispatches, answers, cache events, snapshots and peers. Confined to the control thread.
+ */
+public final class CacheIndex {
+
+    /** Entries of one block that a search for holders reads at most, stale ones included. */
+    private static final int MAXIMUM_ENTRIES_READ = 64;
+
+    /** Weight of a prefix that a peer calls hot, so that it counts as asked for repeatedly. */
+    private static final float IMPORTED_REQUESTS = 2;
+
+    private static final int OWNER_SLOT_BITS = 16;
+    private static final int EPOCH_MASK = (1 << (Integer.SIZE - OWNER_SLOT_BITS)) - 1;
+
+    /** Above this share of the bound only blocks that were routed here are taken from events. */
+    private static final double SELECTIVE_FILL = 0.5;
+
+    private final EntryTable entries;
+    private final CacheIndexSettings settings;
+    private final BlockPopularity popularity;
+    private final InvariantMonitor invariants;
+    private final Map<TargetId, TargetCache> targets = new HashMap<>();
+    private final List<TargetCache> slots = new ArrayList<>();
+    private final List<Integer> epochs = new ArrayList<>();
+    private final List<Integer> freeSlots = new ArrayList<>();
+
+    /** Creates an empty index. */
+    public CacheIndex(
+            CacheIndexSettings settings, InstantSource clock, InvariantMonitor invariants) {
+        this.settings = settings;
+        this.entries = new EntryTable(settings.maximumEntries());
+        this.popularity =
+                new BlockPopularity(
+                        settings.statisticsEntries(), settings.popularityHalfLife(), clock);
+        this.invariants = invariants;
+    }
+
+    /** Returns how often blocks were asked for lately. */
+    public BlockPopularity popularity() {
+        return popularity;
+    }
+
+    /** Returns the number of entries, stale ones that were not yet removed included. */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Returns the incarnation that the target's entries belong to, if it is confirmed. */
+    public Optional<EngineIncarnation> incarnation(TargetId target) {
+        TargetCache cache = targets.get(target);
+        return cache == null || !cache.confirmed
+                ? Optional.empty()
+                : Optional.of(cache.incarnation);
+    }
+
+    /** Returns the number of leading blocks of the chain that the target is known to hold. */
+    public int matchedBlocks(TargetId target, BlockChain chain) {
+        TargetCache cache = targets.get(target);
+        if (cache == null || !cache.confirmed) {
+            return 0;
+        }
+        int matched = 0;
+        while (matched < chain.length()
+                && entries.find(cache.owner, chain.hash(matched)) != EntryTable.NONE) {
+            matched++;
+        }
+        if (matched > 0) {
+            checkIsolation(cache);
+        }
+        return matched;
+    }
+
+    private void checkIsolation(TargetCache cache) {
+        invariants.check(
+                Guarantee.CACHE_ISOLATION,
+                cache.incarnation.equals(cache.ownerIncarnation),
+                () ->
+                        "entries of "
+                                + cache.ownerIncarnation
+                                + " counted for "
+                                + cache.target
+                                + ", which runs "
+                                + cache.incarnation);
+    }
+
+    /**
+     * Returns targets that probably hold a prefix of the chain, those with the deepest known block
+     * first.
+     *
+     * @param limit most targets to return
+     */
+    public Collection<TargetId> holders(BlockChain chain, int limit) {
+        Set<TargetId> found = new LinkedHashSet<>();
+        for (int index = chain.length() - 1; index >= 0 && found.size() < limit; index--) {
+            addHolders(chain.hash(index), limit, found);
+        }
+        return found;
+    }
+
+    private void addHolders(long hash, int limit, Set<TargetId> found) {
+        int entry = entries.firstOf(hash);
+        for (int read = 0;
+                entry != EntryTable.NONE && read < MAXIMUM_ENTRIES_READ && found.size() < limit;
+                read++) {
+            int following = entries.nextOf(entry);
+            TargetCache cache = slots.get(slotOf(entries.owner(entry)));
+            if (cache == null || cache.owner != entries.owner(entry)) {
+                entries.removeEntry(entry);
+            } else if (cache.confirmed) {
+                found.add(cache.target);
+            }
+            entry = following;
+        }
+    }
+
+    /**
+     * Takes evidence of the incarnation that a target runs. Another one than the current drops all
+     * entries of the target; one that was replaced earlier is ignored.
+     *
+     * @return whether the incarnation is the target's current one
+     */
+    public boolean observe(TargetId target, EngineIncarnation incarnation) {
+        TargetCache cache = targets.computeIfAbsent(target, this::addTarget);
+        if (incarnation.equals(cache.incarnation)) {
+            cache.confirmed = true;
+            return true;
+        }
+        if (cache.retired.contains(incarnation)) {
+            return false;
+        }
+        cache.retireIncarnation();
+        cache.incarnation = incarnation;
+        cache.confirmed = true;
+        cache.lastSequence = TargetCache.UNKNOWN_SEQUENCE;
+        cache.snapshotSequence = TargetCache.UNKNOWN_SEQUENCE;
+        cache.needsResynchronisation = true;
+        replaceOwner(cache);
+        return true;
+    }
+
+    /** Takes evidence from a call that began in the given connection epoch of the target. */
+    public boolean observe(TargetId target, EngineIncarnation incarnation, long connectionEpoch) {
+        return connectionEpoch(target) == connectionEpoch && observe(target, incarnation);
+    }
+
+    /** Returns a number that grows with each lost connection to the target. */
+    public long connectionEpoch(TargetId target) {
+        TargetCache cache = targets.get(target);
+        return cache == null ? 0 : cache.connectionEpoch;
+    }
+
+    /** Hides all entries of the target until its incarnation is confirmed again. */
+    public void connectionLost(TargetId target) {
+        TargetCache cache = targets.computeIfAbsent(target, this::addTarget);
+        cache.confirmed = false;
+        cache.connectionEpoch++;
+    }
+
+    /** Forgets a target that has left. */
+    public void forget(TargetId target) {
+        TargetCache cache = targets.remove(target);
+        if (cache != null) {
+            slots.set(cache.slot, null);
+            freeSlots.add(cache.slot);
+        }
+    }
+
+    /** Counts the chain as asked for and, optimistically, as held by the target from now on. */
+    public void onDispatch(TargetId target, BlockChain chain) {
+        for (int index = 0; index < chain.length(); index++) {
+            popularity.add(chain.hash(index), 1);
+        }
+        TargetCache cache = targets.get(target);
+        if (cache != null && cache.confirmed) {
+            putChain(cache, chain);
+        }
+    }
+
+    /**
+     * Takes the head of an answer. The engine has just read or computed the whole prompt, so that
+     * all of its full blocks are held.
+     *
+     * @param cachedTokens prompt tokens that the engine took from its cache
+     */
+    public void onAnswer(
+            TargetId target, EngineIncarnation incarnation, BlockChain chain, int cachedTokens) {
+        if (observe(target, incarnation)) {
+            putChain(targets.get(target), chain);
+        }
+    }
+
+    private void putChain(TargetCache cache, BlockChain chain) {
+        for (int index = chain.length() - 1; index >= 0; index--) {
+            entries.put(cache.owner, chain.hash(index));
+        }
+    }
+
+    /** Returns the sequence number after which to read the target's next cache events. */
+    public long lastSequence(TargetId target) {
+        TargetCache cache = targets.get(target);
+        return cache == null ? 0 : Math.max(0, cache.lastSequence);
+    }
+
+    /** Returns whether events of the target were missed, so that a snapshot is needed. */
+    public boolean needsResynchronisation(TargetId target) {
+        TargetCache cache = targets.get(target);
+        return cache == null || cache.needsResynchronisation;
+    }
+
+    /** Asks for a snapshot of the target, for example when a report names events not seen. */
+    public void requireResynchronisation(TargetId target) {
+        targets.computeIfAbsent(target, this::addTarget).needsResynchronisation = true;
+    }
+
+    /**
+     * Applies new cache events; old or repeated ones and those of other incarnations are ignored.
+     */
+    public void onEvents(TargetId target, CacheEventPage page) {
+        if (!observe(target, page.incarnation())) {
+            return;
+        }
+        TargetCache cache = targets.get(target);
+        for (CacheEvent event : page.events()) {
+            if (event.sequence() > cache.lastSequence) {
+                apply(cache, event);
+            }
+        }
+    }
+
+    private void apply(TargetCache cache, CacheEvent event) {
+        boolean first = cache.lastSequence == TargetCache.UNKNOWN_SEQUENCE;
+        long expected = first ? 1 : cache.lastSequence + 1;
+        if (event.sequence() > expected) {
+            cache.needsResynchronisation = true;
+        }
+        cache.lastSequence = event.sequence();
+        if (event.kind() == CacheEvent.Kind.REMOVED) {
+            entries.remove(cache.owner, event.blockHash());
+        } else if (wanted(event.blockHash())) {
+            entries.put(cache.owner, event.blockHash());
+        }
+    }
+
+    private boolean wanted(long hash) {
+        return entries.size() < SELECTIVE_FILL * settings.maximumEntries()
+                || popularity.count(hash) > 0;
+    }
+
+    /** Replaces the target's entries by a snapshot, unless it is older than the last one. */
+    public void onSnapshot(TargetId target, CacheSnapshot snapshot) {
+        if (!observe(target, snapshot.incarnation())) {
+            return;
+        }
+        TargetCache cache = targets.get(target);
+        if (snapshot.sequence() < cache.snapshotSequence) {
+            return;
+        }
+        replaceOwner(cache);
+        for (Long hash : snapshot.blockHashes()) {
+            if (wanted(hash)) {
+                entries.put(cache.owner, hash);
+            }
+        }
+        // Events after the snapshot that were already applied are read again.
+        cache.lastSequence = snapshot.sequence();
+        cache.snapshotSequence = snapshot.sequence();
+        cache.needsResynchronisation = false;
+    }
+
+    /**
+     * Returns the most popular blocks and the targets that hold them, for a peer that starts.
+     *
+     * @param blocks most blocks to name
+     */
+    public List<HotPrefix> hottest(int blocks) {
+        List<Long> hashes = new ArrayList<>();
+        popularity.forEach(IMPORTED_REQUESTS, hashes::add);
+        hashes.sort(
+                (left, right) -> Double.compare(popularity.count(right), popularity.count(left)));
+        Map<TargetCache, List<Long>> byTarget = new LinkedHashMap<>();
+        for (Long hash : hashes.subList(0, Math.min(blocks, hashes.size()))) {
+            addHolding(hash, byTarget);
+        }
+        List<HotPrefix> prefixes = new ArrayList<>();
+        byTarget.forEach(
+                (cache, held) ->
+                        prefixes.add(new HotPrefix(cache.target, cache.incarnation, held)));
+        return prefixes;
+    }
+
+    private void addHolding(long hash, Map<TargetCache, List<Long>> byTarget) {
+        int entry = entries.firstOf(hash);
+        for (int read = 0; entry != EntryTable.NONE && read < MAXIMUM_ENTRIES_READ; read++) {
+            TargetCache cache = slots.get(slotOf(entries.owner(entry)));
+            if (cache != null && cache.confirmed && cache.owner == entries.owner(entry)) {
+                byTarget.computeIfAbsent(cache, key -> new ArrayList<>()).add(hash);
+            }
+            entry = entries.nextOf(entry);
+        }
+    }
+
+    /**
+     * Takes a peer's hot prefixes. A peer's word does not replace an incarnation that is known
+     * here.
+     */
+    public void importHot(List<HotPrefix> prefixes) {
+        for (HotPrefix prefix : prefixes) {
+            TargetCache cache = targets.computeIfAbsent(prefix.target(), this::addTarget);
+            if (cache.incarnation == null && cache.connectionEpoch == 0) {
+                observe(prefix.target(), prefix.incarnation());
+            }
+            if (cache.current(prefix.incarnation())) {
+                importBlocks(cache, prefix.blockHashes());
+            }
+        }
+    }
+
+    private void importBlocks(TargetCache cache, List<Long> hashes) {
+        for (Long hash : hashes) {
+            entries.put(cache.owner, hash);
+            if (popularity.count(hash) == 0) {
+                popularity.add(hash, IMPORTED_REQUESTS);
+            }
+        }
+    }
+
+    private TargetCache addTarget(TargetId target) {
+        int slot = freeSlots.isEmpty() ? slots.size() : freeSlots.remove(freeSlots.size() - 1);
+        TargetCache cache = new TargetCache(target, slot);
+        if (slot == slots.size()) {
+            slots.add(cache);
+            epochs.add(0);
+        } else {
+            slots.set(slot, cache);
+        }
+        replaceOwner(cache);
+        return cache;
+    }
+
+    /** Gives the target a new owner number; entries of the old one no longer count. */
+    private void replaceOwner(TargetCache cache) {
+        int epoch = (epochs.get(cache.slot) + 1) & EPOCH_MASK;
+        epochs.set(cache.slot, epoch);
+        cache.owner = (cache.slot << OWNER_SLOT_BITS) | epoch;
+        cache.ownerIncarnation = cache.incarnation;
+        if (epoch == 0) {
+            removeSlot(cache.slot);
+        }
+    }
+
+    /** Removes stale entries before the slot's owner numbers are used a second time. */
+    private void removeSlot(int slot) {
+        entries.removeIf(owner -> slotOf(owner) == slot);
+    }
+
+    private static int slotOf(int owner) {
+        return owner >>> OWNER_SLOT_BITS;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/cache/CacheIndexSettings.java
@@ -0,0 +1,31 @@
+package org.bergamothoist.core.cache;
+
+import java.time.Duration;
+
+/**
+ * Bounds of a {@link CacheIndex}.
+ *
+ * @param maximumEntries most (target, block) entries over all targets
+ * @param statisticsEntries blocks whose request counts are kept; rounded up to a power of two
+ * @param popularityHalfLife time after which a block's request count weighs half
+ */
+public record CacheIndexSettings(
+        int maximumEntries, int statisticsEntries, Duration popularityHalfLife) {
+
+    /** Entries of a daemon with 128 MB of control memory. */
+    public static final int DEFAULT_MAXIMUM_ENTRIES = 500_000;
+
+    private static final int DEFAULT_STATISTICS_ENTRIES = 1 << 16;
+
+    public CacheIndexSettings {
+        if (maximumEntries < 1 || statisticsEntries < 1) {
+            throw new IllegalArgumentException("bounds of the cache index must be positive");
+        }
+    }
+
+    /** Returns the settings for daemons of the usual size. */
+    public static CacheIndexSettings standard() {
+        return new CacheIndexSettings(
+                DEFAULT_MAXIMUM_ENTRIES, DEFAULT_STATISTICS_ENTRIES, Duration.ofSeconds(20));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/FairQueue.java
@@ -0,0 +1,82 @@
+package org.bergamothoist.core.limit;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
+import org.bergamothoist.core.identity.OrganisationId;
+
+/**
+ * The queues of one model key, in start-time fair order: an organisation's virtual time advances by
+ * the tokens it was given, divided by its weight.
+ */
+final class FairQueue {
+
+    private static final Comparator<OrganisationQueue> ORDER =
+            Comparator.<OrganisationQueue>comparingDouble(OrganisationQueue::virtualStart)
+                    .thenComparingLong(OrganisationQueue::sequence);
+
+    /** Idle queues kept before those that are no longer ahead are removed. */
+    private static final int IDLE_QUEUES = 64;
+
+    private final Map<OrganisationId, OrganisationQueue> queues = new HashMap<>();
+    private final NavigableSet<OrganisationQueue> active = new TreeSet<>(ORDER);
+    private double virtualTime;
+    private long nextSequence;
+
+    Collection<OrganisationQueue> active() {
+        return active;
+    }
+
+    OrganisationQueue queue(OrganisationId organisation) {
+        return queues.computeIfAbsent(
+                organisation, key -> new OrganisationQueue(key, nextSequence++));
+    }
+
+    void add(QueuedRequest request) {
+        OrganisationQueue queue = queue(request.request().organisation());
+        if (queue.size() == 0) {
+            queue.virtualStart(Math.max(virtualTime, queue.virtualStart()));
+        }
+        queue.add(request);
+        active.add(queue);
+    }
+
+    /** Removes a request that was not dispatched. */
+    boolean remove(QueuedRequest request) {
+        OrganisationQueue queue = queues.get(request.request().organisation());
+        if (queue == null || !queue.remove(request)) {
+            return false;
+        }
+        if (queue.size() == 0) {
+            active.remove(queue);
+            removeIdle();
+        }
+        return true;
+    }
+
+    /** Removes a request that was dispatched, and charges its organisation. */
+    void removeDispatched(QueuedRequest request, int weight) {
+        OrganisationQueue queue = queues.get(request.request().organisation());
+        active.remove(queue);
+        virtualTime = Math.max(virtualTime, queue.virtualStart());
+        queue.virtualStart(
+                queue.virtualStart()
+                        + (double) request.request().estimatedTokens() / Math.max(1, weight));
+        queue.remove(request);
+        if (queue.size() > 0) {
+            active.add(queue);
+        } else {
+            removeIdle();
+        }
+    }
+
+    private void removeIdle() {
+        if (queues.size() > active.size() + IDLE_QUEUES) {
+            queues.values()
+                    .removeIf(queue -> queue.size() == 0 && queue.virtualStart() <= virtualTime);
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/QueuedRequest.java
@@ -0,0 +1,56 @@
+package org.bergamothoist.core.limit;
+
+import java.time.Instant;
+
+/** A submitted request and its state; the ticket handed to the submitter. */
+final class QueuedRequest implements AdmissionTicket {
+
+    private final AdmissionController controller;
+    private final AdmissionRequest request;
+    private final AdmissionHandler handler;
+    private final Instant submittedAt;
+    private State state = State.QUEUED;
+
+    QueuedRequest(
+            AdmissionController controller,
+            AdmissionRequest request,
+            AdmissionHandler handler,
+            Instant submittedAt) {
+        this.controller = controller;
+        this.request = request;
+        this.handler = handler;
+        this.submittedAt = submittedAt;
+    }
+
+    AdmissionRequest request() {
+        return request;
+    }
+
+    AdmissionHandler handler() {
+        return handler;
+    }
+
+    Instant submittedAt() {
+        return submittedAt;
+    }
+
+    State state() {
+        return state;
+    }
+
+    void state(State next) {
+        state = next;
+    }
+
+    @Override
+    public void close() {
+        controller.close(this);
+    }
+
+    enum State {
+        QUEUED,
+        DISPATCHING,
+        RUNNING,
+        CLOSED
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/RetryBudget.java
@@ -0,0 +1,52 @@
+package org.bergamothoist.core.limit;
+
+/** Limits retries and hedges to a share of the requests, so that failures do not multiply load. */
+public final class RetryBudget {
+
+    /** Share of the requests that may be repeated. */
+    public static final double STANDARD_SHARE = 0.1;
+
+    /** Most retries saved up, so that a failure after a quiet time is retried. */
+    public static final int STANDARD_RESERVE = 10;
+
+    /** Makes up for the rounding of sums of shares. */
+    private static final double ROUNDING = 1e-9;
+
+    private final double share;
+    private final double reserve;
+    private double retries;
+
+    /**
+     * Creates a budget whose reserve is full.
+     *
+     * @param share retries earned by each request
+     * @param reserve most retries saved up
+     */
+    public RetryBudget(double share, int reserve) {
+        if (share < 0 || share > 1 || reserve < 0) {
+            throw new IllegalArgumentException("retry budget out of range");
+        }
+        this.share = share;
+        this.reserve = reserve;
+        this.retries = reserve;
+    }
+
+    /** Creates the standard budget. */
+    public static RetryBudget standard() {
+        return new RetryBudget(STANDARD_SHARE, STANDARD_RESERVE);
+    }
+
+    /** Counts a first attempt of a request. */
+    public void onRequest() {
+        retries = Math.min(reserve, retries + share);
+    }
+
+    /** Takes one retry or hedge from the budget; returns false if it is exhausted. */
+    public boolean tryTake() {
+        if (retries + ROUNDING < 1) {
+            return false;
+        }
+        retries = Math.max(0, retries - 1);
+        return true;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/Shares.java
@@ -0,0 +1,44 @@
+package org.bergamothoist.core.limit;
+
+/** Divides a pool in proportion to demands, with a floor for each. */
+final class Shares {
+
+    private Shares() {}
+
+    /**
+     * Returns the part of the first demand: the larger of min(demand, floor) and λ × demand, with
+     * one λ so that the parts add up to the pool.
+     *
+     * @param count number of demands, all positive
+     * @param floor at most the pool divided by the count
+     */
+    static double first(double[] demands, int count, double pool, double floor) {
+        boolean[] atFloor = new boolean[count];
+        double remaining = pool;
+        while (true) {
+            double factor = remaining / sumAboveFloor(demands, count, atFloor);
+            boolean changed = false;
+            for (int index = 0; index < count; index++) {
+                double least = Math.min(demands[index], floor);
+                if (!atFloor[index] && factor * demands[index] < least) {
+                    atFloor[index] = true;
+                    remaining -= least;
+                    changed = true;
+                }
+            }
+            if (!changed) {
+                return atFloor[0] ? Math.min(demands[0], floor) : factor * demands[0];
+            }
+        }
+    }
+
+    private static double sumAboveFloor(double[] demands, int count, boolean[] atFloor) {
+        double sum = 0;
+        for (int index = 0; index < count; index++) {
+            if (!atFloor[index]) {
+                sum += demands[index];
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/TokenBucket.java
@@ -0,0 +1,29 @@
+package org.bergamothoist.core.limit;
+
+import java.time.Instant;
+
+/** A token bucket whose rate may change between uses. */
+final class TokenBucket {
+
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
+    private double tokens;
+    private Instant updatedAt;
+
+    TokenBucket(double tokens, Instant now) {
+        this.tokens = tokens;
+        this.updatedAt = now;
+    }
+
+    /** Takes one token if there is one, after refilling at the rate up to the burst. */
+    boolean tryTake(double tokensPerSecond, double burst, Instant now) {
+        double elapsed = (now.toEpochMilli() - updatedAt.toEpochMilli()) / MILLISECONDS_PER_SECOND;
+        tokens = Math.min(burst, tokens + Math.max(0, elapsed) * tokensPerSecond);
+        updatedAt = now;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/Baselines.java
@@ -0,0 +1,26 @@
+package org.bergamothoist.core.placement;
+
+import java.util.List;
+import org.bergamothoist.core.identity.TargetId;
+
+/** What the baseline policies have in common. */
+final class Baselines {
+
+    private Baselines() {}
+
+    /** Returns the eligible targets that the request admits; the cost grows with the fleet. */
+    static List<TargetId> admitted(PlacementRequest request, PlacementView view) {
+        return view.eligible(request.modelKey()).targets().stream()
+                .filter(target -> request.admits(target, view))
+                .toList();
+    }
+
+    static PlacementDecision decision(
+            TargetId target, PlacementRequest request, PlacementView view) {
+        return new PlacementDecision(
+                target,
+                view.index().matchedBlocks(target, request.chain()),
+                view.load().queueingDelay(target),
+                false);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/EligibleTargets.java
@@ -0,0 +1,94 @@
+package org.bergamothoist.core.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bergamothoist.core.identity.TargetId;
+
+/**
+ * An immutable set of targets with a hash ring, so that the homes of a block are found without a
+ * scan. Daemons with the same targets agree on the homes.
+ */
+public final class EligibleTargets {
+
+    private static final EligibleTargets EMPTY = new EligibleTargets(List.of());
+
+    /** Points of each target on the ring of a small set; more points spread more evenly. */
+    private static final int POINTS_SMALL = 64;
+
+    /** Points of each target on the ring of a large set. */
+    private static final int POINTS_LARGE = 16;
+
+    private static final int SMALL_SET = 64;
+
+    private final List<TargetId> targets;
+    private final Map<TargetId, Integer> positions;
+    private final long[] points;
+    private final int[] owners;
+
+    private EligibleTargets(List<TargetId> targets) {
+        this.targets = targets;
+        this.positions = new HashMap<>();
+        int pointsPerTarget = targets.size() <= SMALL_SET ? POINTS_SMALL : POINTS_LARGE;
+        Map<Long, Integer> ring = new HashMap<>();
+        for (int index = 0; index < targets.size(); index++) {
+            positions.put(targets.get(index), index);
+            for (int point = 0; point < pointsPerTarget; point++) {
+                ring.putIfAbsent(hash(targets.get(index), point), index);
+            }
+        }
+        this.points = ring.keySet().stream().mapToLong(Long::longValue).sorted().toArray();
+        this.owners = Arrays.stream(points).mapToInt(ring::get).toArray();
+    }
+
+    /** Returns the set of the given targets. */
+    public static EligibleTargets of(Collection<TargetId> targets) {
+        return targets.isEmpty()
+                ? EMPTY
+                : new EligibleTargets(targets.stream().sorted().distinct().toList());
+    }
+
+    /** Returns the targets in order of their names. */
+    public List<TargetId> targets() {
+        return targets;
+    }
+
+    /** Returns whether the target belongs to the set. */
+    public boolean contains(TargetId target) {
+        return positions.containsKey(target);
+    }
+
+    /** Returns the first targets in the order of the key's homes. */
+    public List<TargetId> homes(long key, int count) {
+        int wanted = Math.min(count, targets.size());
+        List<TargetId> homes = new ArrayList<>(wanted);
+        int found = Arrays.binarySearch(points, mix(key));
+        int point = found >= 0 ? found : -found - 1;
+        while (homes.size() < wanted) {
+            TargetId target = targets.get(owners[point % points.length]);
+            if (!homes.contains(target)) {
+                homes.add(target);
+            }
+            point++;
+        }
+        return homes;
+    }
+
+    private static long hash(TargetId target, int point) {
+        long hash = 0xcbf29ce484222325L + point;
+        String name = target.value();
+        for (int index = 0; index < name.length(); index++) {
+            hash = (hash ^ name.charAt(index)) * 0x100000001b3L;
+        }
+        return mix(hash + point);
+    }
+
+    static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/FirstBlockHashPolicy.java
@@ -0,0 +1,25 @@
+package org.bergamothoist.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.prompt.BlockChain;
+
+/** Chooses by a consistent hash of the prompt's first block; a baseline. */
+public final class FirstBlockHashPolicy implements PlacementPolicy {
+
+    @Override
+    public Optional<PlacementDecision> choose(PlacementRequest request, PlacementView view) {
+        List<TargetId> targets = Baselines.admitted(request, view);
+        if (targets.isEmpty()) {
+            return Optional.empty();
+        }
+        BlockChain chain = request.chain();
+        long key = chain.length() > 0 ? chain.hash(0) : request.organisation().hashCode();
+        EligibleTargets eligible = view.eligible(request.modelKey());
+        return eligible.homes(key, eligible.targets().size()).stream()
+                .filter(targets::contains)
+                .findFirst()
+                .map(target -> Baselines.decision(target, request, view));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LeastLoadedPolicy.java
@@ -0,0 +1,18 @@
+package org.bergamothoist.core.placement;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Chooses the eligible target with the least known load; a baseline. */
+public final class LeastLoadedPolicy implements PlacementPolicy {
+
+    @Override
+    public Optional<PlacementDecision> choose(PlacementRequest request, PlacementView view) {
+        LoadView load = view.load();
+        return Baselines.admitted(request, view).stream()
+                .min(
+                        Comparator.comparingDouble(load::queueingSeconds)
+                                .thenComparingInt(load::streams))
+                .map(target -> Baselines.decision(target, request, view));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LoadView.java
@@ -0,0 +1,192 @@
+package org.bergamothoist.core.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.peer.PeerMessage.Outstanding;
+
+/**
+ * Estimates the load of targets from this daemon's outstanding work, the targets' reports and the
+ * peers' heartbeats. Confined to the control thread.
+ */
+public final class LoadView {
+
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
+    private final LoadSettings settings;
+    private final InstantSource clock;
+    private final Map<TargetId, TargetLoad> loads = new HashMap<>();
+    private final Map<DaemonId, PeerLoad> peers = new HashMap<>();
+
+    /** Creates a view without any load. */
+    public LoadView(LoadSettings settings, InstantSource clock) {
+        this.settings = settings;
+        this.clock = clock;
+    }
+
+    /** Returns what is assumed of engines. */
+    public LoadSettings settings() {
+        return settings;
+    }
+
+    /** Adds a request whose prompt has this many tokens to compute. */
+    public void dispatched(TargetId target, int uncachedTokens) {
+        TargetLoad load = load(target);
+        load.ownTokens += uncachedTokens;
+        load.ownStreams++;
+    }
+
+    /** Takes off the prompt of a dispatched request: its first token has come, or it has failed. */
+    public void promptFinished(TargetId target, int uncachedTokens) {
+        TargetLoad load = load(target);
+        load.ownTokens = Math.max(0, load.ownTokens - uncachedTokens);
+    }
+
+    /** Takes off the stream of a dispatched request, after {@link #promptFinished}. */
+    public void streamFinished(TargetId target) {
+        TargetLoad load = load(target);
+        load.ownStreams = Math.max(0, load.ownStreams - 1);
+    }
+
+    /** Takes the load figures of a target's report. */
+    public void onReport(TargetId target, long queuedTokens, int runningStreams) {
+        TargetLoad load = load(target);
+        load.reportedOtherTokens = Math.max(0, queuedTokens - load.ownTokens);
+        load.reportedOtherStreams = Math.max(0, runningStreams - load.ownStreams);
+        load.reportedAt = clock.instant();
+    }
+
+    /** Replaces what a peer has said of its outstanding work. */
+    public void onHeartbeat(DaemonId peer, Map<TargetId, Outstanding> outstanding) {
+        expirePeers();
+        PeerLoad previous = peers.put(peer, new PeerLoad(clock.instant(), outstanding));
+        if (previous != null) {
+            add(previous.outstanding, -1);
+        }
+        add(outstanding, 1);
+    }
+
+    private void expirePeers() {
+        Instant oldest = clock.instant().minus(settings.expiry());
+        Iterator<PeerLoad> iterator = peers.values().iterator();
+        while (iterator.hasNext()) {
+            PeerLoad peer = iterator.next();
+            if (peer.receivedAt.isBefore(oldest)) {
+                add(peer.outstanding, -1);
+                iterator.remove();
+            }
+        }
+    }
+
+    private void add(Map<TargetId, Outstanding> outstanding, int sign) {
+        outstanding.forEach(
+                (target, work) -> {
+                    TargetLoad load = load(target);
+                    load.peerTokens += (long) sign * work.promptTokens();
+                    load.peerStreams += sign * work.streams();
+                });
+    }
+
+    /** Returns the number of daemons that were heard of lately, this one included. */
+    public int daemons() {
+        return peers.size() + 1;
+    }
+
+    /** Returns this daemon's outstanding work by target, for its heartbeats. */
+    public Map<TargetId, Outstanding> ownOutstanding() {
+        Map<TargetId, Outstanding> outstanding = new HashMap<>();
+        loads.forEach(
+                (target, load) -> {
+                    if (load.ownStreams > 0) {
+                        int tokens = (int) Math.min(Integer.MAX_VALUE, load.ownTokens);
+                        outstanding.put(target, new Outstanding(tokens, load.ownStreams));
+                    }
+                });
+        return outstanding;
+    }
+
+    /** Returns the estimated prompt tokens that wait at the target. */
+    public double queuedTokens(TargetId target) {
+        TargetLoad load = loads.get(target);
+        if (load == null) {
+            return 0;
+        }
+        double drained =
+                reportAge(load) / MILLISECONDS_PER_SECOND * settings.prefillTokensPerSecond();
+        double reported = Math.max(0, load.reportedOtherTokens - drained);
+        return load.ownTokens + Math.max(reported, load.peerTokens);
+    }
+
+    /** Returns the estimated number of streams at the target. */
+    public int streams(TargetId target) {
+        TargetLoad load = loads.get(target);
+        if (load == null) {
+            return 0;
+        }
+        boolean current = reportAge(load) <= settings.expiry().toMillis();
+        int reported = current ? load.reportedOtherStreams : 0;
+        return load.ownStreams + Math.max(reported, load.peerStreams);
+    }
+
+    /** Returns the predicted seconds until the target starts to compute one more prompt. */
+    public double queueingSeconds(TargetId target) {
+        double prefill = queuedTokens(target) / settings.prefillTokensPerSecond();
+        int excess = streams(target) + 1 - settings.streamsPerTarget();
+        return excess <= 0 ? prefill : prefill + excess * secondsPerStreamSlot();
+    }
+
+    /** Returns the usual seconds between two ends of streams at a target that is full. */
+    private double secondsPerStreamSlot() {
+        return settings.streamDuration().toMillis()
+                / MILLISECONDS_PER_SECOND
+                / settings.streamsPerTarget();
+    }
+
+    /** Returns the predicted time until the target starts to compute one more prompt. */
+    public Duration queueingDelay(TargetId target) {
+        return Duration.ofMillis(Math.round(queueingSeconds(target) * MILLISECONDS_PER_SECOND));
+    }
+
+    /**
+     * Forgets this daemon's work at a target and the target's report, because it has left or come
+     * back empty. The peers' work stays until their next heartbeats.
+     */
+    public void forget(TargetId target) {
+        TargetLoad load = loads.get(target);
+        if (load == null) {
+            return;
+        }
+        load.ownTokens = 0;
+        load.ownStreams = 0;
+        load.reportedOtherTokens = 0;
+        load.reportedOtherStreams = 0;
+        if (load.peerTokens == 0 && load.peerStreams == 0) {
+            loads.remove(target);
+        }
+    }
+
+    private long reportAge(TargetLoad load) {
+        return Duration.between(load.reportedAt, clock.instant()).toMillis();
+    }
+
+    private TargetLoad load(TargetId target) {
+        return loads.computeIfAbsent(target, key -> new TargetLoad());
+    }
+
+    private static final class TargetLoad {
+        private long ownTokens;
+        private int ownStreams;
+        private long peerTokens;
+        private int peerStreams;
+        private long reportedOtherTokens;
+        private int reportedOtherStreams;
+        private Instant reportedAt = Instant.EPOCH;
+    }
+
+    private record PeerLoad(Instant receivedAt, Map<TargetId, Outstanding> outstanding) {}
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementRequest.java
@@ -0,0 +1,37 @@
+package org.bergamothoist.core.placement;
+
+import java.util.Objects;
+import java.util.Set;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.prompt.BlockChain;
+
+/**
+ * What a policy needs to know of a request.
+ *
+ * @param priority 0 is most urgent, 9 least
+ * @param excluded targets that must not get the request, for example those that failed it
+ * @param suspect whether the request may have crashed an engine, so that it must not share one with
+ *     another suspect
+ */
+public record PlacementRequest(
+        BlockChain chain,
+        ModelKey modelKey,
+        OrganisationId organisation,
+        int priority,
+        Set<TargetId> excluded,
+        boolean suspect) {
+
+    public PlacementRequest {
+        Objects.requireNonNull(chain);
+        Objects.requireNonNull(modelKey);
+        Objects.requireNonNull(organisation);
+        excluded = Set.copyOf(excluded);
+    }
+
+    /** Returns whether the target may get the request. */
+    boolean admits(TargetId target, PlacementView view) {
+        return !excluded.contains(target) && !(suspect && view.runsSuspect(target));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/RandomPolicy.java
@@ -0,0 +1,27 @@
+package org.bergamothoist.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.bergamothoist.core.identity.TargetId;
+
+/** Chooses any eligible target; a baseline. */
+public final class RandomPolicy implements PlacementPolicy {
+
+    private final RandomGenerator random;
+
+    /** Creates a policy. */
+    public RandomPolicy(RandomGenerator random) {
+        this.random = random;
+    }
+
+    @Override
+    public Optional<PlacementDecision> choose(PlacementRequest request, PlacementView view) {
+        List<TargetId> targets = Baselines.admitted(request, view);
+        if (targets.isEmpty()) {
+            return Optional.empty();
+        }
+        TargetId target = targets.get(random.nextInt(targets.size()));
+        return Optional.of(Baselines.decision(target, request, view));
+    }
+}
