--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ServiceLimitFilter.java
@@ -0,0 +1,56 @@
+package org.bergamothoist.core.filter;
+
+import java.util.Optional;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.limit.AdmissionController;
+import org.bergamothoist.core.limit.AdmissionHandler;
+import org.bergamothoist.core.limit.AdmissionRequest;
+import org.bergamothoist.core.limit.AdmissionTicket;
+import org.bergamothoist.core.request.Outcome;
+import org.bergamothoist.core.request.RequestFilter;
+import org.bergamothoist.core.request.ServiceExchange;
+
+/** Applies the organisations' limits to calls of plain services. */
+public final class ServiceLimitFilter implements RequestFilter<ServiceExchange> {
+
+    private final AdmissionController admission;
+
+    /** Creates a filter; services have an admission controller of their own. */
+    public ServiceLimitFilter(AdmissionController admission) {
+        this.admission = admission;
+    }
+
+    @Override
+    public void apply(ServiceExchange exchange, Runnable proceed) {
+        ModelKey queue = new ModelKey(exchange.submission().service(), ModelKey.NO_ADAPTER, "0");
+        AdmissionTicket ticket =
+                admission.submit(
+                        new AdmissionRequest(
+                                exchange.organisationId(),
+                                queue,
+                                exchange.priority(),
+                                exchange.estimatedTokens(),
+                                Optional.empty()),
+                        new Handler(exchange, proceed));
+        if (exchange.finished()) {
+            ticket.close();
+            return;
+        }
+        exchange.onFinish(outcome -> ticket.close());
+    }
+
+    private record Handler(ServiceExchange exchange, Runnable proceed) implements AdmissionHandler {
+
+        @Override
+        public boolean tryDispatch() {
+            proceed.run();
+            return true;
+        }
+
+        @Override
+        public void refuse(ErrorCode code, String message) {
+            exchange.finish(Outcome.notRun(code, message));
+        }
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SuspicionTable.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SuspicionTable.java
@@ -66,10 +66,14 @@
     }
 
     FoldResult release(QuarantineRelease release) {
-        if (remove(release.fingerprint()) == null) {
+        List<Fingerprint> cleared =
+                release.fingerprints().stream()
+                        .filter(fingerprint -> remove(fingerprint) != null)
+                        .toList();
+        if (cleared.isEmpty()) {
             return new Unchanged();
         }
-        return new SuspicionsChanged(List.of(), List.of(release.fingerprint()));
+        return new SuspicionsChanged(List.of(), cleared);
     }
 
     /** Removes expired suspicions. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/CompletionExchange.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/CompletionExchange.java
@@ -75,6 +75,11 @@
         return fingerprint;
     }
 
+    @Override
+    public boolean resuming() {
+        return resumePoint.isPresent();
+    }
+
     @Override
     public int estimatedTokens() {
         return Math.max(1, submission.prompt().estimatedTokens());
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RequestExchange.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RequestExchange.java
@@ -19,6 +19,7 @@
 public abstract class RequestExchange {
 
     private final RequestId id;
+    private final boolean identifiedByCaller;
     private final String callerKey;
     private final int priority;
     private final Instant arrivedAt;
@@ -34,6 +35,7 @@
     /** Creates an exchange from the parts that completions and service calls share. */
     protected RequestExchange(Head head, OutcomeGuard outcomeGuard) {
         this.id = head.id();
+        this.identifiedByCaller = head.identifiedByCaller();
         this.callerKey = head.callerKey();
         this.priority = head.priority();
         this.arrivedAt = head.arrivedAt();
@@ -63,6 +65,11 @@
         return id;
     }
 
+    /** Returns whether the identifier came from the caller, so that a repeat can carry it too. */
+    public final boolean identifiedByCaller() {
+        return identifiedByCaller;
+    }
+
     /** Returns the caller's key; never log it. */
     public final String callerKey() {
         return callerKey;
@@ -118,6 +125,9 @@
         organisation = authenticated;
     }
 
+    /** Returns whether the request goes on with an answer that a target has already begun. */
+    public abstract boolean resuming();
+
     /** Returns the work that the request asks for, in tokens, at least 1. */
     public abstract int estimatedTokens();
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/ServiceExchange.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/ServiceExchange.java
@@ -39,6 +39,11 @@
         return relay;
     }
 
+    @Override
+    public boolean resuming() {
+        return false;
+    }
+
     @Override
     public int estimatedTokens() {
         return 1;
