--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/peer/PeerMessage.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/peer/PeerMessage.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.EngineIncarnation;
 import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.identity.TargetId;
@@ -15,30 +14,61 @@
 public sealed interface PeerMessage {
 
     /**
-     * Says that the sender lives, and what it knows.
+     * Returns the message as it stands after it was under way for a time; all ages in it grow. The
+     * network calls this for each message received, since an age that ignores the time spent in
+     * buffers or in a pause of a process would make old information look current.
      *
+     * @param transit upper bound of the time since the message was made
+     */
+    default PeerMessage delayedBy(Duration transit) {
+        return this;
+    }
+
+    /**
+     * Says that the sender lives, and what it knows. Bounded in size.
+     *
+     * @param age time since the sender made it; zero when sent
      * @param appliedOffset last record that the sender has folded
-     * @param confirmedAge time since the sender's view of the log was last confirmed to be current
+     * @param confirmedAge time since the sender's view of the log was last confirmed to be current,
+     *     counted until the message was received
      * @param demand requests a second that the sender was asked for, by organisation
      * @param leavingTargets targets that the sender knows to be leaving
      * @param outstanding the sender's own outstanding work by target
-     * @param others what the sender has heard of other daemons, newest first, bounded
+     * @param complete whether demand and outstanding are all that the sender has; otherwise they
+     *     are a part, and what is missing is unchanged
+     * @param others what the sender has heard of other daemons
      */
     record Heartbeat(
             DaemonStatus status,
             long sequence,
+            Duration age,
             long appliedOffset,
             Duration confirmedAge,
             Map<OrganisationId, Integer> demand,
             List<TargetId> leavingTargets,
             Map<TargetId, Outstanding> outstanding,
-            List<PeerDigest> others)
+            boolean complete,
+            RosterDigest others)
             implements PeerMessage {
         public Heartbeat {
             demand = Map.copyOf(demand);
             leavingTargets = List.copyOf(leavingTargets);
             outstanding = Map.copyOf(outstanding);
-            others = List.copyOf(others);
+        }
+
+        @Override
+        public Heartbeat delayedBy(Duration transit) {
+            return new Heartbeat(
+                    status,
+                    sequence,
+                    age.plus(transit),
+                    appliedOffset,
+                    confirmedAge.plus(transit),
+                    demand,
+                    leavingTargets,
+                    outstanding,
+                    complete,
+                    others.delayedBy(transit));
         }
     }
 
@@ -55,20 +85,6 @@
     /** Work that a daemon has at a target: prompt tokens not yet answered, and running streams. */
     record Outstanding(int promptTokens, int streams) {}
 
-    /**
-     * What one daemon has heard of another.
-     *
-     * @param sequence sequence number of the newest heartbeat heard, directly or not
-     * @param age time since that heartbeat was received by whoever received it directly
-     */
-    record PeerDigest(
-            DaemonId daemon,
-            DaemonStatus status,
-            long sequence,
-            long appliedOffset,
-            Duration confirmedAge,
-            Duration age) {}
-
     /**
      * Log records that the receiver lacks.
      *
@@ -79,6 +95,11 @@
         public LogTailRelay {
             entries = List.copyOf(entries);
         }
+
+        @Override
+        public LogTailRelay delayedBy(Duration transit) {
+            return new LogTailRelay(entries, endOffset, confirmedAge.plus(transit));
+        }
     }
 
     /** Asks for the state at start. */
@@ -90,6 +111,11 @@
         public SnapshotAnswer {
             hot = List.copyOf(hot);
         }
+
+        @Override
+        public SnapshotAnswer delayedBy(Duration transit) {
+            return new SnapshotAnswer(state, confirmedAge.plus(transit), hot);
+        }
     }
 
     /** Block hashes that an engine incarnation holds and that are asked for often. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/timeline/EventKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/timeline/EventKind.java
@@ -35,5 +35,7 @@
     LEASE_LOST,
     ORDER_SENT,
     REPLICA_REQUESTED,
-    INVARIANT_VIOLATED
+    INVARIANT_VIOLATED,
+    /** A received stamp was too far ahead of the wall clock. */
+    CLOCK_LEAD_REFUSED
 }
