Encode releases of several fingerprints

Cause: the record now names a list. Before: the protocol module did not compile with the core. After: its tests pass. Conclusion: none.

--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/LogRecordMapper.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/LogRecordMapper.java
@@ -201,15 +201,17 @@
 
     private static LogRecordMessages.QuarantineRelease quarantineRelease(
             LogRecord.QuarantineRelease release) {
-        return LogRecordMessages.QuarantineRelease.newBuilder()
-                .setFingerprint(StateMapper.toBytes(release.fingerprint()))
-                .setReason(release.reason())
-                .build();
+        LogRecordMessages.QuarantineRelease.Builder builder =
+                LogRecordMessages.QuarantineRelease.newBuilder().setReason(release.reason());
+        release.fingerprints()
+                .forEach(fingerprint -> builder.addFingerprints(StateMapper.toBytes(fingerprint)));
+        return builder.build();
     }
 
     private static LogRecord quarantineRelease(LogRecordMessages.QuarantineRelease message) {
         return new LogRecord.QuarantineRelease(
-                StateMapper.toFingerprint(message.getFingerprint()), message.getReason());
+                message.getFingerprintsList().stream().map(StateMapper::toFingerprint).toList(),
+                message.getReason());
     }
 
     private static LogRecordMessages.Checkpoint checkpoint(LogRecord.Checkpoint checkpoint) {
--- a/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/Samples.java
+++ b/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/Samples.java
@@ -55,7 +55,7 @@
                 new LogRecord.LeaseRequest(text(), daemon(), duration()),
                 new LogRecord.LeaseRelease(text(), daemon(), random.nextLong()),
                 lossReport(),
-                new LogRecord.QuarantineRelease(fingerprint(), text()),
+                new LogRecord.QuarantineRelease(List.of(fingerprint()), text()),
                 new LogRecord.Checkpoint(daemon(), random.nextLong(), text(), snapshot()));
     }
 
