--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/order/LeaseController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/order/LeaseController.java
@@ -37,8 +37,8 @@
     private boolean appending;
     private long fencingNumber;
     private Instant usableFrom = Instant.MAX;
-    private Instant usableUntil = Instant.MIN;
-    private Instant watchedSince = Instant.MIN;
+    private Instant usableUntil = Instant.EPOCH;
+    private Instant watchedSince = Instant.EPOCH;
     private long watchedFencingNumber = -1;
 
     /** Creates a controller that does not hold the lease. */
@@ -135,7 +135,7 @@
         if (fencingNumber > 0) {
             log.append(new LogRecord.LeaseRelease(resource, self, fencingNumber));
             fencingNumber = 0;
-            usableUntil = Instant.MIN;
+            usableUntil = Instant.EPOCH;
         }
     }
 }
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/order/OrderControllerTest.java
@@ -0,0 +1,254 @@
+package org.bergamothoist.core.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.BlockTransfer;
+import org.bergamothoist.core.platform.CacheEventPage;
+import org.bergamothoist.core.platform.CacheSnapshot;
+import org.bergamothoist.core.platform.EngineCall;
+import org.bergamothoist.core.platform.EngineClient;
+import org.bergamothoist.core.platform.EngineListener;
+import org.bergamothoist.core.platform.EngineReport;
+import org.bergamothoist.core.platform.EngineResume;
+import org.bergamothoist.core.platform.EngineStream;
+import org.bergamothoist.core.platform.LoadedModel;
+import org.bergamothoist.core.platform.PlatformException;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetKind;
+import org.bergamothoist.core.platform.TargetOrder;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.bergamothoist.core.timeline.BoundedTimeline;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class OrderControllerTest {
+
+    private static final ModelKey V1 = new ModelKey("lamp-models", "reply", "v1");
+    private static final ModelKey V2 = new ModelKey("lamp-models", "reply", "v2");
+    private static final Duration LOAD_TIME = Duration.ofSeconds(2);
+
+    private final VirtualTimeScheduler time =
+            new VirtualTimeScheduler(Instant.EPOCH.plusSeconds(10_000));
+    private final FakeEngines engines = new FakeEngines(6);
+    private final Map<ModelKey, Long> demand = new HashMap<>(Map.of(V1, 10L));
+    private boolean weightStoreDown;
+
+    private OrderController controller(FoldedLeaseLog log) {
+        DaemonId daemon = new DaemonId("entry-1", 1);
+        BoundedTimeline timeline = new BoundedTimeline(daemon, time);
+        return new OrderController(
+                new OrderController.Parts(
+                        new LeaseController("orders", daemon, log, time, timeline),
+                        engines,
+                        this::weightsStored,
+                        new DesiredStatePlanner(2),
+                        engines::views,
+                        () -> demand,
+                        time,
+                        time,
+                        timeline));
+    }
+
+    private CompletionStage<Boolean> weightsStored(ModelKey key) {
+        return weightStoreDown
+                ? CompletableFuture.failedFuture(new PlatformException("weight store is down"))
+                : CompletableFuture.completedFuture(true);
+    }
+
+    private void run(OrderController controller, int seconds) {
+        for (int second = 0; second < seconds; second++) {
+            controller.tick();
+            time.runDueTasks();
+            assertThat(engines.loading()).isLessThanOrEqualTo(OrderController.MAXIMUM_LOADING);
+            time.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    /** How an engine treats orders. */
+    enum OrderFault {
+        NONE,
+        LOST,
+        DELAYED
+    }
+
+    /** Guards against more than two loads at once and against orders that are lost or late. */
+    @ParameterizedTest
+    @EnumSource(OrderFault.class)
+    void bringsAllEnginesToNewVersionTwoAtATime(OrderFault fault) {
+        engines.fault = fault;
+        OrderController controller = controller(new FoldedLeaseLog(time));
+        run(controller, 40);
+        assertThat(engines.allReady(V1)).isTrue();
+        demand.put(V2, 10L);
+        demand.remove(V1);
+        run(controller, 120);
+        assertThat(engines.allReady(V2)).isTrue();
+        assertThat(engines.anyHolds(V1)).isFalse();
+        assertThat(engines.everWithoutReadyModel).isFalse();
+    }
+
+    /** Guards against orders to load weights that the store cannot deliver. */
+    @Test
+    void waitsWhileWeightStoreIsDown() {
+        weightStoreDown = true;
+        OrderController controller = controller(new FoldedLeaseLog(time));
+        run(controller, 20);
+        assertThat(engines.orders).isEmpty();
+        weightStoreDown = false;
+        run(controller, 40);
+        assertThat(engines.allReady(V1)).isTrue();
+    }
+
+    /** Guards against orders without a lease. */
+    @Test
+    void givesNoOrderWhileLogIsDown() {
+        FoldedLeaseLog log = new FoldedLeaseLog(time);
+        log.available = false;
+        run(controller(log), 30);
+        assertThat(engines.orders).isEmpty();
+    }
+
+    /** Engines that load for two seconds. */
+    private final class FakeEngines implements EngineClient {
+
+        private final Map<Target, Map<ModelKey, Instant>> readyAt = new LinkedHashMap<>();
+        private final List<TargetOrder> orders = new ArrayList<>();
+        private OrderFault fault = OrderFault.NONE;
+        private int received;
+        private boolean everWithoutReadyModel;
+        private boolean wasReady;
+
+        FakeEngines(int count) {
+            for (int number = 0; number < count; number++) {
+                Target target =
+                        new Target(
+                                new TargetId("lamp-" + number),
+                                TargetKind.MODEL_ENGINE,
+                                "lamp-models",
+                                "127.0.0.1",
+                                1,
+                                "muscat-a");
+                readyAt.put(target, new HashMap<>());
+            }
+        }
+
+        List<EngineView> views() {
+            return readyAt.entrySet().stream()
+                    .map(entry -> new EngineView(entry.getKey(), report(entry.getValue())))
+                    .toList();
+        }
+
+        private EngineReport report(Map<ModelKey, Instant> models) {
+            List<LoadedModel> loaded =
+                    models.entrySet().stream()
+                            .map(entry -> new LoadedModel(entry.getKey(), state(entry.getValue())))
+                            .toList();
+            return new EngineReport(
+                    new EngineIncarnation("i"), loaded, 0, 0, time.instant(), 0, false, true);
+        }
+
+        private LoadedModel.State state(Instant ready) {
+            return time.instant().isBefore(ready)
+                    ? LoadedModel.State.LOADING
+                    : LoadedModel.State.READY;
+        }
+
+        long loading() {
+            boolean ready = !demand.isEmpty() && readySomewhere();
+            everWithoutReadyModel |= wasReady && !ready;
+            wasReady |= ready;
+            return readyAt.values().stream()
+                    .filter(models -> models.values().stream().anyMatch(time.instant()::isBefore))
+                    .count();
+        }
+
+        private boolean readySomewhere() {
+            return readyAt.values().stream()
+                    .flatMap(models -> models.values().stream())
+                    .anyMatch(ready -> !time.instant().isBefore(ready));
+        }
+
+        boolean allReady(ModelKey key) {
+            return readyAt.values().stream()
+                    .allMatch(
+                            models ->
+                                    models.containsKey(key)
+                                            && !time.instant().isBefore(models.get(key)));
+        }
+
+        boolean anyHolds(ModelKey key) {
+            return readyAt.values().stream().anyMatch(models -> models.containsKey(key));
+        }
+
+        @Override
+        public CompletionStage<Void> order(Target target, TargetOrder order) {
+            orders.add(order);
+            received++;
+            if (fault == OrderFault.LOST && received % 2 == 0) {
+                return CompletableFuture.failedFuture(new PlatformException("lost"));
+            }
+            Duration delay = fault == OrderFault.DELAYED ? Duration.ofMillis(1_500) : Duration.ZERO;
+            time.schedule(delay, () -> execute(target, order));
+            return CompletableFuture.completedFuture(null);
+        }
+
+        private void execute(Target target, TargetOrder order) {
+            if (time.instant().isAfter(order.deadline())) {
+                return;
+            }
+            Map<ModelKey, Instant> models = readyAt.get(target);
+            Set<ModelKey> added = new HashSet<>(order.models());
+            added.removeAll(models.keySet());
+            models.keySet().retainAll(order.models());
+            added.forEach(key -> models.put(key, time.instant().plus(LOAD_TIME)));
+        }
+
+        @Override
+        public EngineStream start(EngineCall call, EngineListener listener) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public EngineStream resume(EngineResume resume, EngineListener listener) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<EngineReport> report(Target target) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<CacheEventPage> cacheEvents(Target target, long afterSequence) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<CacheSnapshot> cacheSnapshot(Target target) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<Void> transferBlocks(
+                Target target, OrganisationId organisation, BlockTransfer transfer) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
