--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -207,7 +207,7 @@
             continueElsewhere(completion);
             return;
         }
-        EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0);
+        EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0, false);
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
         occupy(completion, choice, attempt, false);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/EngineChoice.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/EngineChoice.java
@@ -8,6 +8,10 @@
  *
  * @param incarnation incarnation that the engine is believed to have
  * @param predictedCachedBlocks leading blocks of the prompt that it is believed to hold
+ * @param importReplica whether the engine should import the prefix from the KV cache store first
  */
 public record EngineChoice(
-        Target target, EngineIncarnation incarnation, int predictedCachedBlocks) {}
+        Target target,
+        EngineIncarnation incarnation,
+        int predictedCachedBlocks,
+        boolean importReplica) {}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -0,0 +1,243 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.bergamothoist.core.cache.CacheIndex;
+import org.bergamothoist.core.dispatch.DispatchObserver;
+import org.bergamothoist.core.dispatch.EngineChoice;
+import org.bergamothoist.core.dispatch.EngineChooser;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.limit.AdmissionController;
+import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.placement.EligibleTargets;
+import org.bergamothoist.core.placement.LoadView;
+import org.bergamothoist.core.placement.PlacementDecision;
+import org.bergamothoist.core.placement.PlacementPolicy;
+import org.bergamothoist.core.placement.PlacementRequest;
+import org.bergamothoist.core.placement.PlacementView;
+import org.bergamothoist.core.platform.BlockTransfer;
+import org.bergamothoist.core.platform.EngineAnswerStart;
+import org.bergamothoist.core.platform.EngineClient;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.timeline.EventKind;
+import org.bergamothoist.core.timeline.Timeline;
+
+/**
+ * Chooses engines by the placement policy and keeps cache index and load up to date with what
+ * dispatches show. Confined to the control thread.
+ */
+final class CompletionPlacement implements EngineChooser, DispatchObserver, PlacementView {
+
+    private final PlacementPolicy policy;
+    private final CacheIndex index;
+    private final LoadView load;
+    private final TargetDirectory directory;
+    private final EngineReports reports;
+    private final EngineClient engineClient;
+    private final NodeMetrics metrics;
+    private final Timeline timeline;
+    private final Map<CompletionExchange, OutstandingPrompt> outstanding = new HashMap<>();
+    private Predicate<TargetId> runsSuspect = target -> false;
+    private AdmissionController admission;
+
+    CompletionPlacement(
+            PlacementPolicy policy,
+            CacheIndex index,
+            LoadView load,
+            TargetDirectory directory,
+            EngineReports reports,
+            EngineClient engineClient,
+            Reporting reporting) {
+        this.policy = policy;
+        this.index = index;
+        this.load = load;
+        this.directory = directory;
+        this.reports = reports;
+        this.engineClient = engineClient;
+        this.metrics = reporting.metrics();
+        this.timeline = reporting.timeline();
+    }
+
+    /** Where decisions are reported to. */
+    record Reporting(NodeMetrics metrics, Timeline timeline) {}
+
+    private static final class OutstandingPrompt {
+        private final TargetId target;
+        private final int uncachedTokens;
+        private final int predictedTokens;
+        private boolean firstPieceSeen;
+
+        OutstandingPrompt(TargetId target, int uncachedTokens, int predictedTokens) {
+            this.target = target;
+            this.uncachedTokens = uncachedTokens;
+            this.predictedTokens = predictedTokens;
+        }
+    }
+
+    /** Completes the wiring with what is created later. */
+    void connect(Predicate<TargetId> suspects, AdmissionController admissionController) {
+        runsSuspect = suspects;
+        admission = admissionController;
+    }
+
+    boolean hasRoom(CompletionExchange exchange) {
+        return decide(exchange, Set.of(), false).isPresent();
+    }
+
+    @Override
+    public Optional<EngineChoice> choose(
+            CompletionExchange exchange, Set<TargetId> excluded, boolean alone) {
+        return decide(exchange, excluded, alone).flatMap(this::toChoice);
+    }
+
+    private Optional<PlacementDecision> decide(
+            CompletionExchange exchange, Set<TargetId> excluded, boolean alone) {
+        PlacementRequest request =
+                new PlacementRequest(
+                        exchange.chain(),
+                        exchange.modelKey(),
+                        exchange.organisationId(),
+                        exchange.priority(),
+                        excluded,
+                        alone);
+        return policy.choose(request, this);
+    }
+
+    private Optional<EngineChoice> toChoice(PlacementDecision decision) {
+        EngineIncarnation incarnation =
+                index.incarnation(decision.target())
+                        .or(
+                                () ->
+                                        reports.report(decision.target())
+                                                .map(report -> report.incarnation()))
+                        .orElse(EngineIncarnation.UNKNOWN);
+        return directory
+                .find(decision.target())
+                .map(
+                        target ->
+                                new EngineChoice(
+                                        target,
+                                        incarnation,
+                                        decision.cachedBlocks(),
+                                        decision.importReplica()));
+    }
+
+    @Override
+    public EligibleTargets eligible(ModelKey key) {
+        return reports.eligible(key);
+    }
+
+    @Override
+    public boolean runsSuspect(TargetId target) {
+        return runsSuspect.test(target);
+    }
+
+    @Override
+    public CacheIndex index() {
+        return index;
+    }
+
+    @Override
+    public LoadView load() {
+        return load;
+    }
+
+    @Override
+    public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
+        TargetId target = choice.target().id();
+        directory.onDispatch(target);
+        if (choice.importReplica()) {
+            requestReplica(exchange, choice);
+        }
+        int uncached = exchange.chain().uncachedTokens(choice.predictedCachedBlocks());
+        int predicted = choice.predictedCachedBlocks() * exchange.chain().blockTokens();
+        outstanding.put(exchange, new OutstandingPrompt(target, uncached, predicted));
+        load.dispatched(target, uncached);
+        index.onDispatch(target, exchange.chain());
+    }
+
+    private void requestReplica(CompletionExchange exchange, EngineChoice choice) {
+        List<Long> blocks = new ArrayList<>();
+        for (int block = 0; block < exchange.chain().length(); block++) {
+            blocks.add(exchange.chain().hash(block));
+        }
+        timeline.record(
+                EventKind.REPLICA_REQUESTED,
+                choice.target().id().toString(),
+                blocks.size() + " blocks");
+        engineClient.transferBlocks(
+                choice.target(),
+                exchange.organisationId(),
+                new BlockTransfer(
+                        BlockTransfer.Direction.IMPORT, exchange.modelKey(), blocks));
+    }
+
+    @Override
+    public void onAnswerStarted(
+            CompletionExchange exchange, Target target, EngineAnswerStart start) {
+        directory.answered(target.id());
+        if (exchange.resuming()) {
+            return;
+        }
+        index.onAnswer(target.id(), start.incarnation(), exchange.chain(), start.cachedTokens());
+        OutstandingPrompt prompt = outstanding.get(exchange);
+        long predicted = prompt == null ? 0 : prompt.predictedTokens;
+        metrics.answerStarted(start.promptTokens(), start.cachedTokens(), predicted);
+    }
+
+    @Override
+    public void onFirstPiece(
+            CompletionExchange exchange, Target target, Duration sinceDispatch) {
+        metrics.firstToken(sinceDispatch);
+        admission.onFirstToken(sinceDispatch);
+        OutstandingPrompt prompt = outstanding.get(exchange);
+        if (prompt != null && prompt.target.equals(target.id()) && !prompt.firstPieceSeen) {
+            prompt.firstPieceSeen = true;
+            load.promptFinished(target.id(), prompt.uncachedTokens);
+            admission.pump();
+        }
+    }
+
+    @Override
+    public void onEnded(CompletionExchange exchange, Target target) {
+        OutstandingPrompt prompt = outstanding.remove(exchange);
+        if (prompt == null) {
+            return;
+        }
+        if (!prompt.firstPieceSeen) {
+            load.promptFinished(prompt.target, prompt.uncachedTokens);
+        }
+        load.streamFinished(prompt.target);
+        admission.pump();
+    }
+
+    @Override
+    public void onConnectionFailed(Target target) {
+        directory.connectionFailed(target.id());
+        index.connectionLost(target.id());
+    }
+
+    @Override
+    public void onRefused(Target target) {
+        metrics.retried();
+    }
+
+    @Override
+    public void onEngineLost(Target target, EngineIncarnation incarnation) {
+        metrics.engineLost();
+        directory.connectionFailed(target.id());
+        index.connectionLost(target.id());
+        reports.lost(target.id());
+        timeline.record(
+                EventKind.ENGINE_LOST, target.id().toString(), "incarnation " + incarnation);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/SheetController.java
@@ -0,0 +1,86 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.log.LogAppender;
+import org.bergamothoist.core.log.LogException;
+import org.bergamothoist.core.log.LogRecord;
+import org.bergamothoist.core.log.SharedState;
+import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.core.sheet.SheetDigest;
+import org.bergamothoist.core.sheet.SheetReach;
+import org.bergamothoist.core.sheet.SheetStatus;
+import org.bergamothoist.core.sheet.SheetVerdict;
+
+/** Submits sheets and follows them until they are in force. Confined to the control thread. */
+final class SheetController {
+
+    private static final Duration APPEND_DEADLINE = Duration.ofSeconds(10);
+    private static final int MAXIMUM_FOLLOWED = 100;
+
+    private final SharedState state;
+    private final LogAppender appender;
+    private final SheetReach reach;
+    private final Supplier<List<SheetReach.DaemonView>> daemons;
+    private final List<String> followed = new ArrayList<>();
+
+    SheetController(
+            SharedState state,
+            LogAppender appender,
+            InstantSource clock,
+            Supplier<List<SheetReach.DaemonView>> daemons) {
+        this.state = state;
+        this.appender = appender;
+        this.reach = new SheetReach(clock);
+        this.daemons = daemons;
+    }
+
+    CompletionStage<SheetStatus> submit(
+            String office, String operator, List<OrganisationEntry> entries) {
+        String digest = SheetDigest.of(entries);
+        LogRecord.SheetSubmission submission =
+                new LogRecord.SheetSubmission(digest, office, operator, entries);
+        return appender.append(submission, APPEND_DEADLINE)
+                .thenCompose(offset -> decided(digest));
+    }
+
+    private CompletionStage<SheetStatus> decided(String digest) {
+        return status(digest)
+                .map(CompletableFuture::completedFuture)
+                .orElseGet(
+                        () ->
+                                CompletableFuture.failedFuture(
+                                        new LogException(
+                                                ErrorCode.INTERNAL, "the sheet has no verdict")));
+    }
+
+    Optional<SheetStatus> status(String digest) {
+        return state.verdict(digest).map(this::follow);
+    }
+
+    private SheetStatus follow(SheetVerdict verdict) {
+        if (!followed.contains(verdict.digest())) {
+            followed.add(verdict.digest());
+        }
+        if (followed.size() > MAXIMUM_FOLLOWED) {
+            followed.remove(0);
+        }
+        return reach.status(verdict, state.roster(), daemons.get());
+    }
+
+    /** Updates the reach of followed sheets; to be called about once a second. */
+    void tick() {
+        followed.removeIf(
+                digest ->
+                        status(digest)
+                                .map(status -> status.reach() != SheetStatus.Reach.RECORDED)
+                                .orElse(true));
+    }
+}
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -98,7 +98,7 @@
                 .filter(target -> !excluded.contains(target.id()))
                 .filter(target -> !alone || !dispatcher.runsSuspect(target.id()))
                 .findFirst()
-                .map(target -> new EngineChoice(target, FIRST, 0));
+                .map(target -> new EngineChoice(target, FIRST, 0, false));
     }
 
     private QuarantineController.SuspicionPublisher publisher() {
