Test the fold, the tail, the appender and claims

Cause: these classes had no tests. Change: a virtual clock and a log in memory drive the real classes. Before: no tests.

--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/claim/ClaimControllerTest.java
@@ -0,0 +1,202 @@
+package org.bergamothoist.core.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.bergamothoist.core.log.Records.FIRST;
+import static org.bergamothoist.core.log.Records.SECOND;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.bergamothoist.core.claim.ClaimResult.Granted;
+import org.bergamothoist.core.claim.ClaimResult.HeldByOther;
+import org.bergamothoist.core.claim.ClaimResult.IdentifierExpired;
+import org.bergamothoist.core.claim.ClaimResult.LogUnavailable;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.log.FakeLog;
+import org.bergamothoist.core.log.LogRecord.ClaimBatch;
+import org.bergamothoist.core.log.LogRecord.ClaimKey;
+import org.bergamothoist.core.log.LogTail;
+import org.bergamothoist.core.log.LogTailSettings;
+import org.bergamothoist.core.log.Records;
+import org.bergamothoist.core.log.SharedState;
+import org.bergamothoist.core.log.VirtualTime;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ClaimControllerTest {
+
+    private static final Duration DEADLINE = Duration.ofSeconds(1);
+
+    private final VirtualTime time = new VirtualTime();
+    private final FakeLog log = new FakeLog(time);
+    private final Daemon first = new Daemon(FIRST);
+    private final Daemon second = new Daemon(SECOND);
+
+    /** One daemon's claims. */
+    private final class Daemon {
+        private final FakeLog.Client client = log.client();
+        private final SharedState state = new SharedState();
+        private final LogTail tail;
+        private final ClaimController controller;
+
+        Daemon(DaemonId id) {
+            Random random = new Random(id.hashCode());
+            tail = new LogTail(client, state, time, time, random, LogTailSettings.DEFAULT);
+            controller = new ClaimController(id, client, tail, state, time, time, random);
+            tail.start(Duration.ZERO);
+            time.advanceMillis(1);
+        }
+
+        CompletableFuture<ClaimResult> claim(ClaimKey key) {
+            return controller.claim(key, DEADLINE).toCompletableFuture();
+        }
+    }
+
+    private ClaimKey key(long number) {
+        return Records.claimKey(time.instant(), number);
+    }
+
+    private ClaimBatch batch(int index) {
+        return (ClaimBatch) log.entries().get(index).record();
+    }
+
+    @Test
+    @DisplayName("guards against two daemons, or two submissions in one, both running a request")
+    void oneOfAllRacersIsGranted() {
+        ClaimKey key = key(1);
+        List<CompletableFuture<ClaimResult>> results =
+                List.of(first.claim(key), first.claim(key), second.claim(key), second.claim(key));
+        time.advance(DEADLINE);
+
+        assertThat(results).extracting(CompletableFuture::join).contains(new HeldByOther(false));
+        assertThat(results)
+                .extracting(CompletableFuture::join)
+                .hasAtLeastOneElementOfType(Granted.class);
+        assertThat(results.stream().filter(result -> result.join() instanceof Granted)).hasSize(1);
+    }
+
+    @Test
+    @DisplayName("guards against a request lost to a lost answer: the fold decides")
+    void lostAnswerIsGrantedByTheFold() {
+        first.client.losesAnswers = true;
+        CompletableFuture<ClaimResult> result = first.claim(key(1));
+        time.advance(DEADLINE);
+
+        assertThat(result.join()).isEqualTo(new Granted(1));
+        assertThat(first.client.appends).isEqualTo(1);
+    }
+
+    @Test
+    @DisplayName("guards against an abandoned claim blocking repeats, or being used after all")
+    void abandonedClaimIsReleasedWhenItShowsUp() {
+        ClaimKey key = key(1);
+        first.client.lateEffect = Duration.ofSeconds(5);
+        CompletableFuture<ClaimResult> abandoned = first.claim(key);
+        time.advance(DEADLINE);
+        assertThat(abandoned.join()).isEqualTo(new LogUnavailable());
+
+        first.client.lateEffect = null;
+        time.advance(Duration.ofSeconds(6));
+        assertThat(batch(1).releases()).containsExactly(key);
+
+        CompletableFuture<ClaimResult> repeat = second.claim(key);
+        time.advance(DEADLINE);
+        assertThat(repeat.join()).isInstanceOf(Granted.class);
+    }
+
+    @Test
+    @DisplayName("guards against a late grant of an earlier sending being used by a later one")
+    void grantOfAnotherBatchIsNotUsed() {
+        ClaimKey key = key(1);
+        first.client.lateEffect = Duration.ofMillis(1_500);
+        first.claim(key);
+        time.advance(DEADLINE);
+        first.client.lateEffect = Duration.ofMillis(501);
+        CompletableFuture<ClaimResult> repeat = first.claim(key);
+        time.advanceMillis(100);
+        first.client.lateEffect = null;
+        time.advance(DEADLINE.multipliedBy(2));
+
+        assertThat(repeat.join()).isEqualTo(new HeldByOther(false));
+        assertThat(first.state.claim(key)).isEmpty();
+        assertThatThrownBy(() -> first.controller.release(key))
+                .isInstanceOf(IllegalStateException.class);
+    }
+
+    @Test
+    @DisplayName("guards against an abandoned claim left behind by a jump over its record")
+    void abandonedClaimIsReleasedAfterRestore() {
+        ClaimKey key = key(1);
+        first.client.hangs = true;
+        CompletableFuture<ClaimResult> result = first.claim(key);
+        time.advance(DEADLINE);
+        assertThat(result.join()).isEqualTo(new LogUnavailable());
+        first.client.hangs = false;
+        first.tail.acceptSnapshot(second.state.snapshot(), Duration.ZERO, Duration.ZERO);
+        time.advance(DEADLINE.multipliedBy(3));
+
+        assertThat(first.state.claim(key)).isEmpty();
+        assertThat(log.entries()).hasSize(2);
+    }
+
+    @Test
+    @DisplayName("guards against a wait for a log that is known to be out")
+    void outageRefusesAtOnce() {
+        first.client.down = true;
+        time.advance(Duration.ofSeconds(2));
+        assertThat(first.claim(key(1))).isCompletedWithValue(new LogUnavailable());
+        assertThat(first.client.appends).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-601, true", "-599, false", "59, false", "61, true"})
+    @DisplayName("guards against a repeat whose earlier sending is forgotten")
+    void identifierOutsideWindowIsRefused(long createdAfterSeconds, boolean refused) {
+        ClaimKey key = Records.claimKey(time.instant().plusSeconds(createdAfterSeconds), 1);
+        CompletableFuture<ClaimResult> result = first.claim(key);
+        time.advance(DEADLINE);
+        assertThat(result.join() instanceof IdentifierExpired).isEqualTo(refused);
+    }
+
+    @Test
+    @DisplayName("guards against a repeat being told unknown although the answer is recorded")
+    void outcomeAndReleaseAreSeenByOthers() {
+        ClaimKey answered = key(1);
+        ClaimKey released = key(2);
+        first.claim(answered);
+        first.claim(released);
+        time.advance(DEADLINE);
+        first.controller.recordOutcome(answered, true);
+        first.controller.release(released);
+        time.advance(DEADLINE);
+
+        assertThat(second.claim(answered)).isCompletedWithValue(new HeldByOther(true));
+        CompletableFuture<ClaimResult> repeat = second.claim(released);
+        time.advance(DEADLINE);
+        assertThat(repeat.join()).isInstanceOf(Granted.class);
+        assertThatThrownBy(() -> first.controller.release(answered))
+                .isInstanceOf(IllegalStateException.class);
+    }
+
+    @Test
+    @DisplayName("guards against more appends than the log takes from all daemons")
+    void appendsAreBatchedAndLimited() {
+        List<CompletableFuture<ClaimResult>> results = new ArrayList<>();
+        for (int number = 0; number < 1_000; number++) {
+            results.add(first.claim(key(number)));
+            time.advanceMillis(1);
+        }
+        time.advance(DEADLINE);
+
+        assertThat(results).allMatch(result -> result.join() instanceof Granted);
+        assertThat(first.client.appends).isLessThanOrEqualTo(11);
+        for (int index = 0; index < log.entries().size(); index++) {
+            assertThat(batch(index).claims()).hasSizeLessThanOrEqualTo(256);
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogAppenderTest.java
@@ -0,0 +1,92 @@
+package org.bergamothoist.core.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+import static org.bergamothoist.core.log.Records.organisation;
+import static org.bergamothoist.core.log.Records.sheet;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+class LogAppenderTest {
+
+    private static final Duration DEADLINE = Duration.ofSeconds(5);
+
+    private final VirtualTime time = new VirtualTime();
+    private final FakeLog log = new FakeLog(time);
+    private final FakeLog.Client client = log.client();
+    private final SharedState state = new SharedState();
+    private final LogTail tail =
+            new LogTail(client, state, time, time, new Random(1), LogTailSettings.DEFAULT);
+    private final LogAppender appender = new LogAppender(client, tail, time);
+    private final LogRecord record = sheet("biel", organisation("o", 0, 1));
+
+    @BeforeEach
+    void start() {
+        tail.start(Duration.ZERO);
+        time.advanceMillis(1);
+    }
+
+    private CompletableFuture<Long> append() {
+        return appender.append(record, DEADLINE).toCompletableFuture();
+    }
+
+    @Test
+    @DisplayName("guards against an answer before the record is folded here")
+    void completesAfterTheFold() {
+        CompletableFuture<Long> result = append();
+        assertThat(result).isNotDone();
+        time.advanceMillis(1);
+        assertThat(result).isCompletedWithValue(1L);
+        assertThat(state.appliedOffset()).isEqualTo(1);
+    }
+
+    @Test
+    @DisplayName("guards against a second append after a lost answer")
+    void findsRecordWhoseAnswerIsLost() {
+        client.losesAnswers = true;
+        CompletableFuture<Long> result = append();
+        time.advanceMillis(300);
+        assertThat(result).isCompletedWithValue(1L);
+        assertThat(client.appends).isEqualTo(1);
+    }
+
+    @Test
+    @DisplayName("guards against a failure being reported as not appended")
+    void reportsNotConfirmedAndNeverAppendsAgain() {
+        client.lateEffect = DEADLINE.plusSeconds(1);
+        CompletableFuture<Long> result = append();
+        time.advance(DEADLINE);
+        assertThat(catchThrowable(result::join))
+                .hasCauseInstanceOf(AppendNotConfirmedException.class);
+        time.advance(DEADLINE);
+        assertThat(log.entries()).hasSize(1);
+        assertThat(client.appends).isEqualTo(1);
+    }
+
+    @Test
+    @DisplayName("guards against a late effect within the deadline being missed")
+    void findsRecordThatTakesEffectLate() {
+        client.lateEffect = Duration.ofSeconds(3);
+        CompletableFuture<Long> result = append();
+        time.advance(DEADLINE);
+        assertThat(result).isCompletedWithValue(1L);
+    }
+
+    @Test
+    @DisplayName("guards against a wait for a record that a snapshot has jumped over")
+    void knownOffsetIsConfirmedBySnapshot() {
+        client.hangs = true;
+        time.advanceMillis(300);
+        CompletableFuture<Long> result = append();
+        time.advanceMillis(1);
+        SharedState peer = new SharedState();
+        log.entries().forEach(peer::apply);
+        tail.acceptSnapshot(peer.snapshot(), Duration.ZERO, Duration.ZERO);
+        assertThat(result).isCompletedWithValue(1L);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
@@ -0,0 +1,212 @@
+package org.bergamothoist.core.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.bergamothoist.core.log.Records.FIRST;
+import static org.bergamothoist.core.log.Records.daemon;
+import static org.bergamothoist.core.log.Records.joined;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.bergamothoist.core.peer.PeerMessage.LogTailRelay;
+import org.bergamothoist.core.platform.LogEntry;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LogTailTest {
+
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    private final VirtualTime time = new VirtualTime();
+    private final FakeLog log = new FakeLog(time);
+    private final FakeLog.Client client = log.client();
+    private final SharedState state = new SharedState();
+    private final LogTail tail = tail(client, state);
+    private final List<Long> applied = new ArrayList<>();
+
+    private LogTail tail(FakeLog.Client connection, SharedState target) {
+        return new LogTail(connection, target, time, time, new Random(1), LogTailSettings.DEFAULT);
+    }
+
+    private void addRecords(int count) {
+        for (int index = 0; index < count; index++) {
+            log.add(joined(daemon("d" + log.entries().size() % 50, log.entries().size())));
+        }
+    }
+
+    private SharedState foldTo(long offset) {
+        SharedState fold = new SharedState();
+        log.entries().stream().filter(entry -> entry.offset() <= offset).forEach(fold::apply);
+        return fold;
+    }
+
+    private void addCheckpoint(long covered) {
+        SharedStateSnapshot snapshot = foldTo(covered).snapshot();
+        log.add(new LogRecord.Checkpoint(FIRST, covered, SharedState.digest(snapshot), snapshot));
+    }
+
+    private void start() {
+        tail.addListener((entry, result) -> applied.add(entry.offset()));
+        tail.start(Duration.ZERO);
+        time.advance(SECOND);
+    }
+
+    private void assertCaughtUp() {
+        assertThat(state.snapshot()).isEqualTo(foldTo(log.entries().size()).snapshot());
+        assertThat(tail.confirmedAge().orElseThrow()).isLessThanOrEqualTo(Duration.ofMillis(250));
+    }
+
+    @Test
+    @DisplayName("guards against records folded twice, out of order or not at all")
+    void foldsEachRecordOnce() {
+        addRecords(600);
+        CompletableFuture<Void> waiter = tail.whenApplied(601).toCompletableFuture();
+        start();
+        assertThat(waiter).isNotDone();
+        addRecords(1);
+        tail.readNow();
+        time.advanceMillis(1);
+
+        assertThat(waiter).isCompleted();
+        assertThat(applied).hasSize(601).isSorted().doesNotHaveDuplicates();
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName("guards against a late checkpoint of a slow writer reverting newer state")
+    void startsFromTheHighestCoveredOffset() {
+        addRecords(700);
+        addCheckpoint(650);
+        addRecords(20);
+        addCheckpoint(600);
+        addRecords(10);
+        log.expireBelow(640);
+        start();
+
+        assertThat(applied).first().isEqualTo(651L);
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName(
+            "guards against a start from a checkpoint whose successor has expired or is corrupt")
+    void waitsForSnapshotWithoutUsableCheckpoint() {
+        addRecords(100);
+        addCheckpoint(90);
+        log.add(new LogRecord.Checkpoint(FIRST, 101, "bad", foldTo(101).snapshot()));
+        log.expireBelow(95);
+        start();
+
+        assertThat(state.appliedOffset()).isZero();
+        assertThat(tail.needsSnapshot()).isTrue();
+        assertThat(tail.acceptSnapshot(foldTo(93).snapshot(), SECOND, SECOND)).isFalse();
+        assertThat(tail.acceptSnapshot(foldTo(94).snapshot(), SECOND, SECOND)).isTrue();
+        time.advance(SECOND);
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName("guards against a daemon stuck after it fell behind the retained log")
+    void recoversWhenItFallsBehind() {
+        addRecords(10);
+        start();
+        client.down = true;
+        addRecords(400);
+        addCheckpoint(400);
+        log.expireBelow(300);
+        time.advance(SECOND.multipliedBy(5));
+        assertThat(tail.isReachable()).isFalse();
+        client.down = false;
+        time.advance(SECOND.multipliedBy(3));
+
+        assertThat(applied).containsSubsequence(10L, 401L);
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName("guards against a checkpoint written later not being found")
+    void findsCheckpointWrittenWhileWaiting() {
+        addRecords(600);
+        log.expireBelow(100);
+        start();
+        addCheckpoint(600);
+        time.advance(SECOND);
+        assertCaughtUp();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    @DisplayName("guards against an outage that is noticed too late or a log that is hammered")
+    void backsOffDuringOutage(boolean hangs) {
+        start();
+        client.hangs = hangs;
+        client.down = !hangs;
+        time.advance(Duration.ofMillis(2_300));
+        assertThat(tail.isReachable()).isFalse();
+        int before = client.reads;
+        time.advance(Duration.ofSeconds(60));
+        assertThat(client.reads - before).isBetween(14, 60);
+        assertThat(tail.confirmedAge().orElseThrow()).isGreaterThan(Duration.ofSeconds(62));
+    }
+
+    @Test
+    @DisplayName("guards against one lost answer counting as an outage")
+    void oneFailureIsNoOutage() {
+        start();
+        client.down = true;
+        tail.readNow();
+        client.down = false;
+        time.advanceMillis(100);
+        assertThat(tail.isReachable()).isTrue();
+    }
+
+    @Test
+    @DisplayName("guards against a relay with a gap, or of a peer behind the end, looking fresh")
+    void relaysFoldOnlyContiguousRecords() {
+        client.down = true;
+        addRecords(10);
+        start();
+        LogTail peer = tail(log.client(), new SharedState());
+        peer.start(Duration.ZERO);
+        time.advanceMillis(10);
+        LogTailRelay gap = peer.relayAfter(5, 100).orElseThrow();
+        LogTailRelay part = new LogTailRelay(peer.entriesAfter(0, 4), 11, Duration.ZERO);
+        LogTailRelay all = peer.relayAfter(2, 100).orElseThrow();
+
+        tail.acceptRelay(gap, SECOND);
+        assertThat(state.appliedOffset()).isZero();
+        tail.acceptRelay(part, SECOND);
+        assertThat(state.appliedOffset()).isEqualTo(4);
+        assertThat(tail.confirmedAge()).isEmpty();
+        tail.acceptRelay(all, SECOND);
+        assertThat(state.appliedOffset()).isEqualTo(10);
+        assertThat(tail.confirmedAge()).contains(SECOND.plusMillis(10));
+    }
+
+    @Test
+    @DisplayName("guards against an unbounded buffer and against relays with a gap")
+    void bufferIsBounded() {
+        addRecords(5_000);
+        start();
+        assertThat(tail.entriesAfter(903, 10)).isEmpty();
+        assertThat(tail.entriesAfter(904, 3))
+                .extracting(LogEntry::offset)
+                .containsExactly(905L, 906L, 907L);
+        assertThat(tail.entriesAfter(4_999, 10)).hasSize(1);
+        assertThat(tail.entriesAfter(5_000, 10)).isEmpty();
+    }
+
+    @Test
+    @DisplayName("guards against a peer's older snapshot moving the state back")
+    void snapshotOnlyMovesForward() {
+        addRecords(10);
+        start();
+        client.down = true;
+        assertThat(tail.acceptSnapshot(foldTo(9).snapshot(), SECOND, SECOND)).isFalse();
+        assertThat(state.appliedOffset()).isEqualTo(10);
+    }
+}
