--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/cache/CacheSynchroniser.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/cache/CacheSynchroniser.java
@@ -18,6 +18,7 @@
 import org.bergamothoist.core.platform.CacheSnapshot;
 import org.bergamothoist.core.platform.EngineClient;
 import org.bergamothoist.core.platform.EngineReport;
+import org.bergamothoist.core.platform.PlatformException;
 import org.bergamothoist.core.platform.Target;
 import org.bergamothoist.core.time.Scheduler;
 
@@ -31,6 +32,9 @@
     /** Rounds without an answer after which the interval no longer doubles. */
     private static final int MAXIMUM_DOUBLINGS = 4;
 
+    /** Rounds after which events that a report named are taken for lost instead of late. */
+    private static final int ROUNDS_UNTIL_LOST = 4;
+
     private final SynchroniserSettings settings;
     private final DaemonId self;
     private final EngineClient client;
@@ -103,7 +107,8 @@
         private int call;
         private int failures;
         private long connectionEpoch;
-        private long previousReportedSequence;
+        private long awaitedSequence;
+        private int awaitedRounds;
 
         private Poll(Target target) {
             this.target = target;
@@ -127,22 +132,30 @@
             }
             reports.onReport(target, report);
             long seen = index.lastSequence(target.id());
-            if (previousReportedSequence > seen
-                    && report.lastEventSequence() >= previousReportedSequence) {
-                // The events named by the previous report did not come with the last page.
-                index.requireResynchronisation(target.id());
-            }
+            detectLostTail(report.lastEventSequence(), seen);
             if (index.needsResynchronisation(target.id())) {
-                previousReportedSequence = 0;
                 call(() -> client.cacheSnapshot(target), this::onSnapshot);
             } else if (report.lastEventSequence() > seen) {
-                previousReportedSequence = report.lastEventSequence();
                 call(() -> client.cacheEvents(target, seen), this::onEvents);
             } else {
                 scheduleRound();
             }
         }
 
+        /** Detects that the newest events named by a report were lost and not just late. */
+        private void detectLostTail(long reportedSequence, long seen) {
+            if (seen >= awaitedSequence) {
+                awaitedSequence = reportedSequence;
+                awaitedRounds = 0;
+                return;
+            }
+            awaitedRounds++;
+            if (awaitedRounds == ROUNDS_UNTIL_LOST) {
+                index.requireResynchronisation(target.id());
+                awaitedSequence = 0;
+            }
+        }
+
         private void onSnapshot(CacheSnapshot snapshot) {
             if (index.connectionEpoch(target.id()) == connectionEpoch) {
                 index.onSnapshot(target.id(), snapshot);
@@ -161,10 +174,14 @@
         private <T> void call(Supplier<CompletionStage<T>> request, Consumer<T> handler) {
             int number = ++call;
             scheduler.schedule(settings.callTimeout(), () -> fail(number));
-            request.get()
-                    .whenCompleteAsync(
-                            (answer, failure) -> complete(number, answer, failure, handler),
-                            scheduler);
+            try {
+                request.get()
+                        .whenCompleteAsync(
+                                (answer, failure) -> complete(number, answer, failure, handler),
+                                scheduler);
+            } catch (PlatformException exception) {
+                fail(number);
+            }
         }
 
         private <T> void complete(int number, T answer, Throwable failure, Consumer<T> handler) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementWeights.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementWeights.java
@@ -19,4 +19,14 @@
             throw new IllegalArgumentException("weights must be non-negative and not all zero");
         }
     }
+
+    /**
+     * Returns the cost that placement minimises.
+     *
+     * @param queueingSeconds predicted time until the prompt is computed
+     * @param prefillSeconds predicted time to compute the part of the prompt that is not cached
+     */
+    public double cost(double queueingSeconds, double prefillSeconds) {
+        return tailLatency * (queueingSeconds + prefillSeconds) + recomputation * prefillSeconds;
+    }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
@@ -106,9 +106,7 @@
         double prefill =
                 (double) chain.uncachedTokens(cachedBlocks)
                         / load.settings().prefillTokensPerSecond();
-        PlacementWeights weights = settings.weights();
-        double cost =
-                weights.tailLatency() * (queueing + prefill) + weights.recomputation() * prefill;
+        double cost = settings.weights().cost(queueing, prefill);
         return new Candidate(target, cachedBlocks, queueing, cost);
     }
 
--- /dev/null
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/FakeRequest.java
@@ -0,0 +1,18 @@
+package org.bergamothoist.measure;
+
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.prompt.BlockChain;
+
+/**
+ * A request of the workload.
+ *
+ * @param daemon number of the daemon that the caller connects to
+ * @param deadlineMilliseconds time by which the first token must arrive
+ */
+record FakeRequest(
+        long arrivalMilliseconds,
+        OrganisationId organisation,
+        BlockChain chain,
+        int answerTokens,
+        int daemon,
+        long deadlineMilliseconds) {}
