--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/peer/PeerNetwork.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/peer/PeerNetwork.java
@@ -1,10 +1,13 @@
 package org.bergamothoist.core.peer;
 
+import java.util.function.Supplier;
 import org.bergamothoist.core.identity.DaemonId;
 
 /**
  * Carries messages between daemons. Messages may be lost, late or duplicated; those of an open
- * connection keep their order. Senders are authenticated.
+ * connection keep their order, but heartbeats may overtake others. Senders are authenticated.
+ * Received messages have been {@link PeerMessage#delayedBy delayed} by an upper bound of the time
+ * that they were under way.
  */
 public interface PeerNetwork {
 
@@ -15,6 +18,17 @@
      */
     void send(String address, PeerMessage message);
 
+    /**
+     * Sends a message whose ages are computed by the supplier. The network takes the time of
+     * sending before it calls the supplier, so that a pause of the process between the two makes
+     * the message look older, never newer. Messages with ages should be sent this way.
+     *
+     * @param address peer address, {@code host:port}
+     */
+    default void sendComposed(String address, Supplier<? extends PeerMessage> message) {
+        send(address, message.get());
+    }
+
     /** Sets the receiver of all messages, which is called on any thread. */
     void receive(PeerReceiver receiver);
 
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/PeerMessageCodec.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/PeerMessageCodec.java
@@ -21,7 +21,8 @@
     /**
      * Returns the message of the bytes.
      *
-     * @throws ProtocolException if the bytes are not a message of a known kind
+     * @throws UnsupportedMessageException if the message is of a kind that is not known
+     * @throws ProtocolException if the bytes are malformed
      */
     public PeerMessage decode(byte[] bytes) {
         try {
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/PeerMessageMapper.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/PeerMessageMapper.java
@@ -12,11 +12,16 @@
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.platform.LogEntry;
 import org.bergamothoist.protocol.ProtocolException;
+import org.bergamothoist.protocol.UnsupportedMessageException;
 import org.bergamothoist.protocol.generated.PeerMessages;
+import org.bergamothoist.protocol.generated.StateMessages;
 
 /** Converts peer messages. */
 public final class PeerMessageMapper {
 
+    private static final long MAXIMUM_AGE_MILLISECONDS = Duration.ofDays(36_500).toMillis();
+    private static final long NANOSECONDS_BELOW_A_MILLISECOND = 999_999;
+
     private PeerMessageMapper() {}
 
     /** Returns the protobuf form of a message. */
@@ -70,7 +75,8 @@
                             LogRecordMapper.toLossReport(message.getLossNotice().getReport()));
             case LOSS_NOTICE_ACK ->
                     new PeerMessage.LossNoticeAck(message.getLossNoticeAck().getNoticeId());
-            case KIND_NOT_SET -> throw new ProtocolException("peer message of an unknown kind");
+            case KIND_NOT_SET ->
+                    throw new UnsupportedMessageException("peer message of an unknown kind");
         };
     }
 
@@ -210,7 +216,7 @@
                 message.getBlockHashesList());
     }
 
-    private static Duration age(org.bergamothoist.protocol.generated.StateMessages.Span message) {
+    private static Duration age(StateMessages.Span message) {
         Duration age = StateMapper.toDuration(message);
         if (age.isNegative()) {
             throw new ProtocolException("negative age");
@@ -218,8 +224,8 @@
         return age;
     }
 
-    private static long roundedUp(Duration age) {
-        return age.plusNanos(999_999).toMillis();
+    static long roundedUp(Duration age) {
+        return age.plusNanos(NANOSECONDS_BELOW_A_MILLISECOND).toMillis();
     }
 
     private static int notNegative(int value) {
@@ -236,6 +242,4 @@
         }
         return value;
     }
-
-    private static final long MAXIMUM_AGE_MILLISECONDS = Duration.ofDays(36_500).toMillis();
 }
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/RosterDigestMapper.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/RosterDigestMapper.java
@@ -127,7 +127,7 @@
     }
 
     private static long steps(Duration age) {
-        long milliseconds = age.plusNanos(999_999).toMillis();
+        long milliseconds = PeerMessageMapper.roundedUp(age);
         return (milliseconds + STEP_MILLISECONDS - 1) / STEP_MILLISECONDS;
     }
 }
--- /dev/null
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Connections, frames and authentication of the network between daemons. */
+package org.bergamothoist.protocol.internal.transport;
--- a/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/CodecTest.java
+++ b/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/CodecTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -140,7 +141,7 @@
 
     private static byte[] damage(byte[] bytes, Random random) {
         int length = bytes.length == 0 ? 0 : bytes.length - random.nextInt(2);
-        byte[] damaged = java.util.Arrays.copyOf(bytes, length);
+        byte[] damaged = Arrays.copyOf(bytes, length);
         for (int count = random.nextInt(4); count > 0 && length > 0; count--) {
             damaged[random.nextInt(length)] = (byte) random.nextInt();
         }
@@ -155,6 +156,6 @@
     @Test
     void messageOfUnknownKindIsRefused() {
         assertThatThrownBy(() -> messages.decode(new byte[0]))
-                .isInstanceOf(ProtocolException.class);
+                .isInstanceOf(UnsupportedMessageException.class);
     }
 }
