--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
@@ -147,7 +147,8 @@
     /** Returns a message for a peer that lags; empty if the records it lacks are not kept. */
     public Optional<LogTailRelay> relayAfter(long offset, int maximum) {
         List<LogEntry> entries = entriesAfter(offset, maximum);
-        if (entries.isEmpty() || confirmedAt == null) {
+        boolean forgotten = entries.isEmpty() && offset != appliedOffset();
+        if (forgotten || confirmedAt == null) {
             return Optional.empty();
         }
         return confirmedAge().map(age -> new LogTailRelay(entries, appliedOffset() + 1, age));
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -27,6 +27,7 @@
 import org.bergamothoist.core.platform.EngineAnswerStart;
 import org.bergamothoist.core.platform.EngineClient;
 import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetFailure;
 import org.bergamothoist.core.request.CompletionExchange;
 import org.bergamothoist.core.timeline.EventKind;
 import org.bergamothoist.core.timeline.Timeline;
@@ -123,9 +124,9 @@
         return directory
                 .find(decision.target())
                 .map(
-                        target ->
+                        known ->
                                 new EngineChoice(
-                                        target,
+                                        known.getKey(),
                                         incarnation,
                                         decision.cachedBlocks(),
                                         decision.importReplica()));
@@ -154,7 +155,7 @@
     @Override
     public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
         TargetId target = choice.target().id();
-        directory.onDispatch(target);
+        directory.beforeDispatch(target);
         if (choice.importReplica()) {
             requestReplica(exchange, choice);
         }
@@ -177,14 +178,13 @@
         engineClient.transferBlocks(
                 choice.target(),
                 exchange.organisationId(),
-                new BlockTransfer(
-                        BlockTransfer.Direction.IMPORT, exchange.modelKey(), blocks));
+                new BlockTransfer(BlockTransfer.Direction.IMPORT, exchange.modelKey(), blocks));
     }
 
     @Override
     public void onAnswerStarted(
             CompletionExchange exchange, Target target, EngineAnswerStart start) {
-        directory.answered(target.id());
+        directory.observeAnswer(target.id());
         if (exchange.resuming()) {
             return;
         }
@@ -195,8 +195,7 @@
     }
 
     @Override
-    public void onFirstPiece(
-            CompletionExchange exchange, Target target, Duration sinceDispatch) {
+    public void onFirstPiece(CompletionExchange exchange, Target target, Duration sinceDispatch) {
         metrics.firstToken(sinceDispatch);
         admission.onFirstToken(sinceDispatch);
         OutstandingPrompt prompt = outstanding.get(exchange);
@@ -222,19 +221,20 @@
 
     @Override
     public void onConnectionFailed(Target target) {
-        directory.connectionFailed(target.id());
+        directory.observeFailure(target.id(), TargetFailure.Kind.NOT_SENT);
         index.connectionLost(target.id());
     }
 
     @Override
     public void onRefused(Target target) {
+        directory.observeFailure(target.id(), TargetFailure.Kind.REFUSED);
         metrics.retried();
     }
 
     @Override
     public void onEngineLost(Target target, EngineIncarnation incarnation) {
         metrics.engineLost();
-        directory.connectionFailed(target.id());
+        directory.observeFailure(target.id(), TargetFailure.Kind.BROKEN);
         index.connectionLost(target.id());
         reports.lost(target.id());
         timeline.record(
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/ConfigurationView.java
@@ -0,0 +1,58 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.log.ConfigurationFreshness;
+import org.bergamothoist.core.log.LogTail;
+import org.bergamothoist.core.log.SharedState;
+import org.bergamothoist.core.membership.PeerMembership;
+import org.bergamothoist.core.membership.PeerView;
+import org.bergamothoist.core.node.NodeStatus.Configuration;
+import org.bergamothoist.core.sheet.SheetReach;
+
+/** Joins what this daemon and its peers know of the log. Confined to the control thread. */
+final class ConfigurationView {
+
+    private final DaemonId self;
+    private final SharedState state;
+    private final LogTail tail;
+    private final PeerMembership membership;
+
+    ConfigurationView(DaemonId self, SharedState state, LogTail tail, PeerMembership membership) {
+        this.self = self;
+        this.state = state;
+        this.tail = tail;
+        this.membership = membership;
+    }
+
+    Configuration configuration() {
+        List<ConfigurationFreshness.PeerView> views = new ArrayList<>();
+        for (PeerView peer : membership.peers()) {
+            Duration atMessage = peer.confirmedAge().minus(peer.informationAge());
+            views.add(
+                    new ConfigurationFreshness.PeerView(
+                            peer.daemon(),
+                            peer.appliedOffset(),
+                            atMessage.isNegative() ? Duration.ZERO : atMessage,
+                            peer.informationAge()));
+        }
+        return ConfigurationFreshness.of(
+                new ConfigurationFreshness.OwnView(
+                        self, tail.appliedOffset(), tail.confirmedAge(), tail.isReachable()),
+                state.roster(),
+                views);
+    }
+
+    List<SheetReach.DaemonView> daemonViews() {
+        List<SheetReach.DaemonView> views = new ArrayList<>();
+        views.add(new SheetReach.DaemonView(self, tail.appliedOffset(), Duration.ZERO));
+        for (PeerView peer : membership.peers()) {
+            views.add(
+                    new SheetReach.DaemonView(
+                            peer.daemon(), peer.appliedOffset(), peer.informationAge()));
+        }
+        return views;
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/EngineReports.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/EngineReports.java
@@ -15,8 +15,8 @@
 import org.bergamothoist.core.platform.Target;
 
 /**
- * Keeps the last report of each engine and the engines that are ready for each model. Confined to the
- * control thread.
+ * Keeps the last report of each engine and the engines that are ready for each model. Confined to
+ * the control thread.
  */
 final class EngineReports {
 
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/LeastOutstandingServiceChooser.java
@@ -0,0 +1,47 @@
+package org.bergamothoist.core.node;
+
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.bergamothoist.core.dispatch.ServiceChooser;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetKind;
+
+/**
+ * Chooses the instance with the fewest calls of this daemon, taking turns between equal ones.
+ * Confined to the control thread.
+ */
+final class LeastOutstandingServiceChooser implements ServiceChooser {
+
+    private final TargetDirectory directory;
+    private final ToIntFunction<TargetId> outstanding;
+    private int turn;
+
+    LeastOutstandingServiceChooser(TargetDirectory directory, ToIntFunction<TargetId> outstanding) {
+        this.directory = directory;
+        this.outstanding = outstanding;
+    }
+
+    @Override
+    public Optional<Target> choose(String service, Set<TargetId> excluded) {
+        int rotation = turn++ & Integer.MAX_VALUE;
+        Optional<Target> chosen =
+                directory.accepting(TargetKind.PLAIN_SERVICE, service).stream()
+                        .filter(target -> !excluded.contains(target.id()))
+                        .min(
+                                Comparator.comparingInt(
+                                                (Target target) ->
+                                                        outstanding.applyAsInt(target.id()))
+                                        .thenComparingInt(target -> rank(target.id(), rotation)));
+        chosen.ifPresent(target -> directory.beforeDispatch(target.id()));
+        return chosen;
+    }
+
+    private static int rank(TargetId target, int rotation) {
+        int hash = (target.value().hashCode() + rotation) * 0x9e3779b9;
+        return hash >>> 1;
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeHeartbeatSource.java
@@ -0,0 +1,95 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.limit.OrganisationShare;
+import org.bergamothoist.core.log.LogTail;
+import org.bergamothoist.core.log.SharedState;
+import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
+import org.bergamothoist.core.membership.HeartbeatSource;
+import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
+import org.bergamothoist.core.peer.PeerMessage.Outstanding;
+import org.bergamothoist.core.placement.LoadView;
+import org.bergamothoist.core.platform.VirtualMachine;
+
+/** Supplies the content of heartbeats. Confined to the control thread. */
+final class NodeHeartbeatSource implements HeartbeatSource {
+
+    private static final Duration NEVER = Duration.ofDays(365);
+
+    private final SharedState state;
+    private final TargetDirectory directory;
+    private final LogTail tail;
+    private final LoadView load;
+    private final OrganisationShare share;
+    private final DemandMeter<OrganisationId> demandMeter;
+    private final Supplier<DaemonStatus> status;
+
+    NodeHeartbeatSource(
+            SharedState state,
+            TargetDirectory directory,
+            LogTail tail,
+            LoadView load,
+            OrganisationShare share,
+            DemandMeter<OrganisationId> demandMeter,
+            Supplier<DaemonStatus> status) {
+        this.state = state;
+        this.directory = directory;
+        this.tail = tail;
+        this.load = load;
+        this.share = share;
+        this.demandMeter = demandMeter;
+        this.status = status;
+    }
+
+    @Override
+    public List<RosterMember> roster() {
+        return List.copyOf(state.roster());
+    }
+
+    @Override
+    public List<VirtualMachine> virtualMachines() {
+        return directory.virtualMachines();
+    }
+
+    @Override
+    public DaemonStatus status() {
+        return status.get();
+    }
+
+    @Override
+    public long appliedOffset() {
+        return tail.appliedOffset();
+    }
+
+    @Override
+    public Duration confirmedAge() {
+        return tail.confirmedAge().orElse(NEVER);
+    }
+
+    @Override
+    public Map<OrganisationId, Integer> demand() {
+        Map<OrganisationId, Integer> demand = new HashMap<>();
+        demandMeter
+                .perSecond()
+                .forEach((organisation, rate) -> demand.put(organisation, rate.intValue()));
+        share.announced(demand);
+        return demand;
+    }
+
+    @Override
+    public List<TargetId> leavingTargets() {
+        return directory.leavingTargets();
+    }
+
+    @Override
+    public Map<TargetId, Outstanding> outstanding() {
+        return load.ownOutstanding();
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestIntake.java
@@ -0,0 +1,198 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.bergamothoist.core.error.BergamothoistException;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.invariant.InvariantMonitor;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.request.CompletionListener;
+import org.bergamothoist.core.request.CompletionSubmission;
+import org.bergamothoist.core.request.FilterChain;
+import org.bergamothoist.core.request.Outcome;
+import org.bergamothoist.core.request.OutcomeGuard;
+import org.bergamothoist.core.request.RequestExchange;
+import org.bergamothoist.core.request.ResumeSubmission;
+import org.bergamothoist.core.request.ServiceAnswerListener;
+import org.bergamothoist.core.request.ServiceExchange;
+import org.bergamothoist.core.request.ServiceSubmission;
+import org.bergamothoist.core.request.StreamHandle;
+import org.bergamothoist.core.stream.ResumeToken;
+import org.bergamothoist.core.stream.ResumeTokenCodec;
+import org.bergamothoist.core.stream.ServiceRelay;
+import org.bergamothoist.core.stream.StreamRelay;
+import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.core.timeline.EventKind;
+import org.bergamothoist.core.timeline.Timeline;
+
+/** Turns submissions into exchanges and sends them through their filter chain. */
+final class RequestIntake {
+
+    private final Parts parts;
+    private final Set<RequestExchange> running = new HashSet<>();
+
+    RequestIntake(Parts parts) {
+        this.parts = parts;
+    }
+
+    /** What the intake works with. */
+    record Parts(
+            FilterChain<CompletionExchange> completions,
+            FilterChain<ServiceExchange> services,
+            OutcomeGuard outcomeGuard,
+            ResumeTokenCodec tokenCodec,
+            InvariantMonitor monitor,
+            Scheduler scheduler,
+            InstantSource clock,
+            RandomGenerator random,
+            Timeline timeline,
+            NodeMetrics metrics) {}
+
+    StreamHandle complete(CompletionSubmission submission, CompletionListener listener) {
+        RequestId id = identify(submission.requestId());
+        StreamRelay relay = new StreamRelay(id, listener, parts.monitor());
+        CompletionExchange exchange =
+                new CompletionExchange(
+                        head(submission, id),
+                        submission,
+                        Optional.empty(),
+                        relay,
+                        parts.outcomeGuard());
+        parts.scheduler().execute(() -> accept(exchange, parts.completions()));
+        return handle(exchange, relay::request);
+    }
+
+    StreamHandle resume(ResumeSubmission submission, CompletionListener listener) {
+        CompletionSubmission original = submission.original();
+        RequestId id = identify(original.requestId());
+        StreamRelay relay = new StreamRelay(id, listener, parts.monitor());
+        CompletionExchange.ResumePoint point;
+        try {
+            ResumeToken token =
+                    parts.tokenCodec().decode(submission.token(), parts.clock().instant());
+            point =
+                    new CompletionExchange.ResumePoint(
+                            token, submission.nextPiece(), submission.deliveredText());
+        } catch (BergamothoistException exception) {
+            Outcome outcome = new Outcome.Unknown(exception.code(), exception.getMessage());
+            parts.scheduler().execute(() -> relay.finish(outcome));
+            return new InertHandle();
+        }
+        CompletionExchange exchange =
+                new CompletionExchange(
+                        head(original, id),
+                        original,
+                        Optional.of(point),
+                        relay,
+                        parts.outcomeGuard());
+        if (!point.token().idempotent()) {
+            exchange.markNonIdempotent();
+        }
+        parts.scheduler().execute(() -> accept(exchange, parts.completions()));
+        return handle(exchange, relay::request);
+    }
+
+    StreamHandle callService(ServiceSubmission submission, ServiceAnswerListener listener) {
+        RequestId id = identify(submission.requestId());
+        ServiceRelay relay = new ServiceRelay(id, listener, parts.monitor());
+        RequestExchange.Head head =
+                new RequestExchange.Head(
+                        id,
+                        submission.requestId().isPresent(),
+                        submission.callerKey(),
+                        submission.priority(),
+                        parts.clock().instant(),
+                        deadline(submission.deadline()),
+                        submission.idempotent());
+        ServiceExchange exchange =
+                new ServiceExchange(head, submission, relay, parts.outcomeGuard());
+        parts.scheduler().execute(() -> accept(exchange, parts.services()));
+        return handle(exchange, relay::request);
+    }
+
+    private RequestId identify(Optional<RequestId> given) {
+        return given.orElseGet(() -> RequestId.create(parts.clock().instant(), parts.random()));
+    }
+
+    private RequestExchange.Head head(CompletionSubmission submission, RequestId id) {
+        return new RequestExchange.Head(
+                id,
+                submission.requestId().isPresent(),
+                submission.callerKey(),
+                submission.priority(),
+                parts.clock().instant(),
+                deadline(submission.deadline()),
+                submission.idempotent());
+    }
+
+    private Optional<Instant> deadline(Optional<Duration> fromNow) {
+        return fromNow.map(parts.clock().instant()::plus);
+    }
+
+    private <E extends RequestExchange> void accept(E exchange, FilterChain<E> chain) {
+        running.add(exchange);
+        parts.timeline().record(EventKind.REQUEST_ACCEPTED, exchange.id().toString(), "");
+        exchange.onFinish(
+                outcome -> {
+                    running.remove(exchange);
+                    parts.metrics().finished(outcome);
+                    parts.timeline()
+                            .record(
+                                    EventKind.REQUEST_FINISHED,
+                                    exchange.id().toString(),
+                                    outcome.getClass().getSimpleName());
+                });
+        chain.handle(exchange);
+    }
+
+    /** Returns the requests that were accepted and have not ended. */
+    List<RequestExchange> running() {
+        return List.copyOf(running);
+    }
+
+    private StreamHandle handle(RequestExchange exchange, DemandSink demand) {
+        return new StreamHandle() {
+            @Override
+            public void request(int pieces) {
+                demand.request(pieces);
+            }
+
+            @Override
+            public void cancel() {
+                parts.scheduler()
+                        .execute(
+                                () ->
+                                        exchange.fail(
+                                                ErrorCode.CANCELLED,
+                                                "the caller cancelled the request"));
+            }
+        };
+    }
+
+    @FunctionalInterface
+    private interface DemandSink {
+
+        void request(int pieces);
+    }
+
+    /** Controls a request that has already ended. */
+    private static final class InertHandle implements StreamHandle {
+
+        @Override
+        public void request(int pieces) {
+            // Nothing follows the outcome.
+        }
+
+        @Override
+        public void cancel() {
+            // The request has ended.
+        }
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/SheetController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/SheetController.java
@@ -47,8 +47,7 @@
         String digest = SheetDigest.of(entries);
         LogRecord.SheetSubmission submission =
                 new LogRecord.SheetSubmission(digest, office, operator, entries);
-        return appender.append(submission, APPEND_DEADLINE)
-                .thenCompose(offset -> decided(digest));
+        return appender.append(submission, APPEND_DEADLINE).thenCompose(offset -> decided(digest));
     }
 
     private CompletionStage<SheetStatus> decided(String digest) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/FilterChain.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/FilterChain.java
@@ -1,6 +1,10 @@
 package org.bergamothoist.core.request;
 
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.bergamothoist.core.error.BergamothoistException;
+import org.bergamothoist.core.error.ErrorCode;
 
 /**
  * Applies filters in order.
@@ -9,6 +13,8 @@
  */
 public final class FilterChain<E extends RequestExchange> {
 
+    private static final Logger LOGGER = LogManager.getLogger(FilterChain.class);
+
     private final List<RequestFilter<? super E>> filters;
 
     /** Creates a chain; the last filter need not proceed. */
@@ -25,6 +31,16 @@
         if (exchange.finished() || index == filters.size()) {
             return;
         }
-        filters.get(index).apply(exchange, () -> applyFrom(index + 1, exchange));
+        try {
+            filters.get(index).apply(exchange, () -> applyFrom(index + 1, exchange));
+        } catch (BergamothoistException exception) {
+            if (exception.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw exception;
+            }
+            exchange.fail(exception.code(), exception.getMessage());
+        } catch (RuntimeException exception) {
+            LOGGER.error("request {} failed in a filter", exchange.id(), exception);
+            exchange.fail(ErrorCode.INTERNAL, "the daemon failed to handle the request");
+        }
     }
 }
