Let a request wait for its best target instead of the next with room

When the engine with the prefix had a queue over 4 s, requests were recomputed by others, which filled those queues as well. The bound on the queueing delay now applies to the cheapest target only.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
@@ -48,7 +48,11 @@
                 best = better(best, evaluate(request.chain(), target, view));
             }
         }
-        return best == null ? Optional.empty() : Optional.of(decision(best, homes, request, view));
+        // A request waits for the best target rather than being recomputed by another with room,
+        // since recomputation takes room from all the others.
+        return best == null || !hasRoom(best)
+                ? Optional.empty()
+                : Optional.of(decision(best, homes, request, view));
     }
 
     /**
@@ -110,11 +114,8 @@
         return new Candidate(target, cachedBlocks, queueing, cost);
     }
 
-    /** Prefers a candidate with room, then the lower cost, then the earlier one. */
-    private Candidate better(Candidate best, Candidate candidate) {
-        if (!hasRoom(candidate)) {
-            return best;
-        }
+    /** Prefers the lower cost, then the earlier candidate. */
+    private static Candidate better(Candidate best, Candidate candidate) {
         return best == null || candidate.cost < best.cost ? candidate : best;
     }
 
