--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/DigestComposer.java
@@ -0,0 +1,124 @@
+package org.bergamothoist.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Function;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
+import org.bergamothoist.core.peer.RosterDigest;
+
+/**
+ * Makes digests of what was heard of other daemons. Ages and applied offsets are made coarser until
+ * they fit: ages are rounded up, offsets down.
+ */
+final class DigestComposer {
+
+    /** More distinct offsets would need more bits for each member. */
+    private static final int MAXIMUM_OFFSETS = 4;
+
+    /** With fewer members than this, each offset is sent as it is. */
+    private static final int MEMBERS_WITH_EXACT_OFFSETS = 32;
+
+    private static final long STEP_MILLISECONDS = RosterDigest.AGE_STEP.toMillis();
+    private static final int AGES_IN_A_BYTE = 2;
+
+    /** A digest and its size in bytes, at most. */
+    record Sized(RosterDigest digest, int bytes) {}
+
+    /**
+     * Returns a digest of the roster's members that were heard lately.
+     *
+     * @param peers finds what is known of a daemon, or null
+     * @param budget bytes that the digest may take
+     */
+    Sized compose(
+            RosterIndex roster,
+            Function<DaemonId, PeerState> peers,
+            Instant confirmedAt,
+            Instant now,
+            int budget) {
+        List<RosterDigest.Member> members = new ArrayList<>();
+        int bytes = HeartbeatSize.DIGEST + (roster.order().size() + 1) / AGES_IN_A_BYTE;
+        for (int position = 0; position < roster.order().size(); position++) {
+            PeerState peer = peers.apply(roster.order().get(position));
+            if (peer == null) {
+                continue;
+            }
+            long steps = steps(PeerState.age(peer.heardAt(), now));
+            boolean exception = peer.status() != DaemonStatus.SERVING;
+            boolean fits = !exception || bytes + HeartbeatSize.EXCEPTION <= budget;
+            if (steps > RosterDigest.MAXIMUM_AGE_STEPS || !fits) {
+                continue;
+            }
+            bytes += exception ? HeartbeatSize.EXCEPTION : 0;
+            members.add(
+                    new RosterDigest.Member(
+                            position,
+                            peer.status(),
+                            peer.appliedOffset(),
+                            RosterDigest.AGE_STEP.multipliedBy(steps)));
+        }
+        Duration confirmedAge = PeerState.age(confirmedAt, now);
+        if (bytes > budget || members.isEmpty()) {
+            RosterDigest bare = new RosterDigest(roster.key(), confirmedAge, List.of());
+            return new Sized(bare, HeartbeatSize.DIGEST);
+        }
+        long[] offsets = levels(members);
+        bytes += offsetBytes(offsets, members.size());
+        RosterDigest digest =
+                new RosterDigest(roster.key(), confirmedAge, roundedDown(members, offsets));
+        return new Sized(digest, bytes);
+    }
+
+    /** Returns the offsets to send: all distinct ones, or the extremes and two between them. */
+    private static long[] levels(List<RosterDigest.Member> members) {
+        long[] sorted =
+                members.stream().mapToLong(RosterDigest.Member::appliedOffset).sorted().toArray();
+        long[] distinct = Arrays.stream(sorted).distinct().toArray();
+        if (distinct.length <= MAXIMUM_OFFSETS || members.size() < MEMBERS_WITH_EXACT_OFFSETS) {
+            return distinct;
+        }
+        long[] levels = new long[MAXIMUM_OFFSETS];
+        for (int level = 0; level < MAXIMUM_OFFSETS; level++) {
+            levels[level] = sorted[(sorted.length - 1) * level / (MAXIMUM_OFFSETS - 1)];
+        }
+        return Arrays.stream(levels).distinct().toArray();
+    }
+
+    private static List<RosterDigest.Member> roundedDown(
+            List<RosterDigest.Member> members, long[] offsets) {
+        return members.stream()
+                .map(
+                        member ->
+                                new RosterDigest.Member(
+                                        member.position(),
+                                        member.status(),
+                                        floor(offsets, member.appliedOffset()),
+                                        member.age()))
+                .toList();
+    }
+
+    private static long floor(long[] offsets, long offset) {
+        int found = Arrays.binarySearch(offsets, offset);
+        return found >= 0 ? offsets[found] : offsets[-found - 2];
+    }
+
+    private static int offsetBytes(long[] offsets, int members) {
+        int bytes = 0;
+        long previous = 0;
+        for (long offset : offsets) {
+            bytes += HeartbeatSize.varint(offset - previous);
+            previous = offset;
+        }
+        int bits = Integer.SIZE - Integer.numberOfLeadingZeros(offsets.length - 1);
+        return bytes + (members * bits + Byte.SIZE - 1) / Byte.SIZE;
+    }
+
+    private static long steps(Duration age) {
+        long milliseconds = age.plusNanos(999_999).toMillis();
+        return (milliseconds + STEP_MILLISECONDS - 1) / STEP_MILLISECONDS;
+    }
+}
