--- /dev/null
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each command. */
+package org.bergamothoist.cli;
--- /dev/null
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP interface: addresses, completions as server-sent events, plain services. */
+package org.bergamothoist.daemon.caller;
--- /dev/null
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface: sheets, status, timeline, quarantine. */
+package org.bergamothoist.daemon.operator;
--- /dev/null
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread and the parts that exist once for each daemon. */
+package org.bergamothoist.daemon.runtime;
