--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeHeartbeatSource.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeHeartbeatSource.java
@@ -28,7 +28,7 @@
     private final LogTail tail;
     private final LoadView load;
     private final OrganisationShare share;
-    private final DemandMeter<OrganisationId> demandMeter;
+    private final Supplier<Map<OrganisationId, Long>> demandRates;
     private final Supplier<DaemonStatus> status;
 
     NodeHeartbeatSource(
@@ -37,14 +37,14 @@
             LogTail tail,
             LoadView load,
             OrganisationShare share,
-            DemandMeter<OrganisationId> demandMeter,
+            Supplier<Map<OrganisationId, Long>> demandRates,
             Supplier<DaemonStatus> status) {
         this.state = state;
         this.directory = directory;
         this.tail = tail;
         this.load = load;
         this.share = share;
-        this.demandMeter = demandMeter;
+        this.demandRates = demandRates;
         this.status = status;
     }
 
@@ -76,8 +76,8 @@
     @Override
     public Map<OrganisationId, Integer> demand() {
         Map<OrganisationId, Integer> demand = new HashMap<>();
-        demandMeter
-                .perSecond()
+        demandRates
+                .get()
                 .forEach((organisation, rate) -> demand.put(organisation, rate.intValue()));
         share.announced(demand);
         return demand;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -0,0 +1,239 @@
+package org.bergamothoist.core.node;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.bergamothoist.core.dispatch.CompletionDispatcher;
+import org.bergamothoist.core.dispatch.EngineLossDetector;
+import org.bergamothoist.core.dispatch.ServiceDispatcher;
+import org.bergamothoist.core.filter.AdmissionFilter;
+import org.bergamothoist.core.filter.AuthenticationFilter;
+import org.bergamothoist.core.filter.ClaimFilter;
+import org.bergamothoist.core.filter.CompletionEntitlementFilter;
+import org.bergamothoist.core.filter.ConfigurationFilter;
+import org.bergamothoist.core.filter.QuarantineFilter;
+import org.bergamothoist.core.filter.ServiceEntitlementFilter;
+import org.bergamothoist.core.filter.ServiceLimitFilter;
+import org.bergamothoist.core.filter.SizeFilter;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.limit.AdmissionController;
+import org.bergamothoist.core.limit.AdmissionLimits;
+import org.bergamothoist.core.limit.AdmissionSettings;
+import org.bergamothoist.core.limit.RetryBudget;
+import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
+import org.bergamothoist.core.node.NodeStatus.Configuration;
+import org.bergamothoist.core.placement.PlacementSettings;
+import org.bergamothoist.core.placement.PrefixAwarePolicy;
+import org.bergamothoist.core.platform.TargetFailure;
+import org.bergamothoist.core.prompt.BlockHasher;
+import org.bergamothoist.core.quarantine.Fingerprint;
+import org.bergamothoist.core.quarantine.QuarantineController;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.request.FilterChain;
+import org.bergamothoist.core.request.RepeatAwareOutcomeGuard;
+import org.bergamothoist.core.request.ServiceExchange;
+import org.bergamothoist.core.stream.ResumeTokenCodec;
+
+/** The way of requests through filters to targets. Confined to the control thread. */
+final class RequestPath {
+
+    private final NodeSettings settings;
+    private final NodeAdapters adapters;
+    private final RouterNode.Environment environment;
+    private final SharedLog log;
+    private final TargetKnowledge targets;
+    private final AdmissionLimits limits;
+    private final NodeMetrics metrics;
+    private final RetryBudget retryBudget = RetryBudget.standard();
+    private final QuarantineController quarantine;
+    private final CompletionPlacement placement;
+    private final CompletionDispatcher completionDispatcher;
+    private final ServiceDispatcher serviceDispatcher;
+    private final DemandMeter<OrganisationId> organisationDemand;
+    private final DemandMeter<ModelKey> modelDemand;
+    private final RequestIntake intake;
+
+    RequestPath(
+            NodeSettings settings,
+            NodeAdapters adapters,
+            RouterNode.Environment environment,
+            SharedLog log,
+            TargetKnowledge targets,
+            Gate gate) {
+        this.settings = settings;
+        this.adapters = adapters;
+        this.environment = environment;
+        this.log = log;
+        this.targets = targets;
+        this.limits = gate.limits();
+        this.metrics = new NodeMetrics(environment.metrics());
+        this.organisationDemand = new DemandMeter<>(environment.clock());
+        this.modelDemand = new DemandMeter<>(environment.clock());
+        this.quarantine =
+                new QuarantineController(
+                        settings.self(),
+                        this::lossesInLog,
+                        gate.publisher(),
+                        environment.scheduler(),
+                        environment.clock());
+        this.placement =
+                new CompletionPlacement(
+                        new PrefixAwarePolicy(
+                                PlacementSettings.standard(settings.weights()),
+                                environment.random()),
+                        targets.index(),
+                        targets.load(),
+                        targets.directory(),
+                        targets.reports(),
+                        adapters.engines(),
+                        new CompletionPlacement.Reporting(metrics, environment.timeline()));
+        ResumeTokenCodec tokenCodec = new ResumeTokenCodec(settings.deploymentKey());
+        this.completionDispatcher = createCompletionDispatcher(tokenCodec);
+        this.serviceDispatcher = createServiceDispatcher();
+        this.intake = createIntake(tokenCodec, gate);
+    }
+
+    /**
+     * What decides whether requests are taken.
+     *
+     * @param accepting false once a planned stop no longer takes new requests
+     */
+    record Gate(
+            Supplier<Configuration> configuration,
+            BooleanSupplier accepting,
+            AdmissionLimits limits,
+            QuarantineController.SuspicionPublisher publisher) {}
+
+    private int lossesInLog(Fingerprint fingerprint) {
+        return log.state().suspicion(fingerprint).map(Suspicion::losses).orElse(0);
+    }
+
+    private CompletionDispatcher createCompletionDispatcher(ResumeTokenCodec tokenCodec) {
+        return new CompletionDispatcher(
+                new CompletionDispatcher.Parts(
+                        adapters.engines(),
+                        placement,
+                        id -> targets.directory().find(id).map(Map.Entry::getKey),
+                        new EngineLossDetector(adapters.engines(), environment.scheduler()),
+                        quarantine,
+                        retryBudget::tryTake,
+                        placement,
+                        tokenCodec,
+                        environment.scheduler(),
+                        environment.clock(),
+                        environment.timeline()),
+                settings.dispatch());
+    }
+
+    private ServiceDispatcher createServiceDispatcher() {
+        return new ServiceDispatcher(
+                adapters.services(),
+                new LeastOutstandingServiceChooser(targets.directory(), this::serviceOutstanding),
+                retryBudget::tryTake,
+                target ->
+                        targets.directory()
+                                .observeFailure(target.id(), TargetFailure.Kind.NOT_SENT),
+                environment.scheduler(),
+                settings.dispatch());
+    }
+
+    private int serviceOutstanding(TargetId target) {
+        return serviceDispatcher.outstanding(target);
+    }
+
+    private RequestIntake createIntake(ResumeTokenCodec tokenCodec, Gate gate) {
+        AdmissionController completions =
+                new AdmissionController(
+                        AdmissionSettings.standard(),
+                        limits,
+                        environment.clock(),
+                        environment.scheduler());
+        AdmissionController services =
+                new AdmissionController(
+                        AdmissionSettings.standard(),
+                        limits,
+                        environment.clock(),
+                        environment.scheduler());
+        placement.connect(completionDispatcher::runsSuspect, completions);
+        ConfigurationFilter configurationFilter =
+                new ConfigurationFilter(gate.configuration(), gate.accepting());
+        AuthenticationFilter authentication =
+                new AuthenticationFilter(log.state()::organisationByKeyDigest);
+        ClaimFilter claimFilter = new ClaimFilter(log.claims(), environment.timeline());
+        FilterChain<CompletionExchange> completionChain =
+                new FilterChain<>(
+                        List.of(
+                                configurationFilter,
+                                authentication,
+                                new SizeFilter(
+                                        settings.maximumPromptBytes(), settings.maximumTokens()),
+                                new CompletionEntitlementFilter(
+                                        new BlockHasher(settings.blockTokens())),
+                                this::countCompletion,
+                                new QuarantineFilter(quarantine),
+                                new AdmissionFilter(completions, placement::hasRoom),
+                                claimFilter,
+                                completionDispatcher));
+        FilterChain<ServiceExchange> serviceChain =
+                new FilterChain<>(
+                        List.of(
+                                configurationFilter,
+                                authentication,
+                                new ServiceEntitlementFilter(),
+                                this::countService,
+                                new ServiceLimitFilter(services),
+                                claimFilter,
+                                serviceDispatcher));
+        return new RequestIntake(
+                new RequestIntake.Parts(
+                        completionChain,
+                        serviceChain,
+                        new RepeatAwareOutcomeGuard(
+                                environment.monitor(),
+                                () -> gate.configuration().get() == Configuration.FRESH),
+                        tokenCodec,
+                        environment.monitor(),
+                        environment.scheduler(),
+                        environment.clock(),
+                        environment.random(),
+                        environment.timeline(),
+                        metrics));
+    }
+
+    private void countCompletion(CompletionExchange exchange, Runnable proceed) {
+        organisationDemand.add(exchange.organisationId(), 1);
+        modelDemand.add(exchange.modelKey(), exchange.estimatedTokens());
+        retryBudget.onRequest();
+        proceed.run();
+    }
+
+    private void countService(ServiceExchange exchange, Runnable proceed) {
+        organisationDemand.add(exchange.organisationId(), 1);
+        retryBudget.onRequest();
+        proceed.run();
+    }
+
+    RequestIntake intake() {
+        return intake;
+    }
+
+    QuarantineController quarantine() {
+        return quarantine;
+    }
+
+    DemandMeter<OrganisationId> organisationDemand() {
+        return organisationDemand;
+    }
+
+    DemandMeter<ModelKey> modelDemand() {
+        return modelDemand;
+    }
+
+    /** Ends attempts that make no progress. */
+    void checkProgress() {
+        completionDispatcher.checkProgress();
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/TargetKnowledge.java
@@ -0,0 +1,95 @@
+package org.bergamothoist.core.node;
+
+import org.bergamothoist.core.cache.CacheIndex;
+import org.bergamothoist.core.cache.CacheIndexSettings;
+import org.bergamothoist.core.cache.CacheSynchroniser;
+import org.bergamothoist.core.cache.SynchroniserSettings;
+import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.placement.LoadSettings;
+import org.bergamothoist.core.placement.LoadView;
+import org.bergamothoist.core.platform.EngineReport;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetKind;
+
+/** What this daemon knows of targets: the directory, reports, caches and load. */
+final class TargetKnowledge {
+
+    private final TargetDirectory directory;
+    private final EngineReports reports;
+    private final CacheIndex index;
+    private final LoadView load;
+    private final CacheSynchroniser synchroniser;
+
+    TargetKnowledge(
+            NodeSettings settings, NodeAdapters adapters, RouterNode.Environment environment) {
+        this.directory =
+                new TargetDirectory(
+                        environment.clock(),
+                        environment.scheduler(),
+                        environment.random(),
+                        adapters.virtualMachines(),
+                        environment.monitor(),
+                        environment.timeline());
+        this.reports = new EngineReports(() -> directory.accepting(TargetKind.MODEL_ENGINE));
+        this.index =
+                new CacheIndex(
+                        CacheIndexSettings.standard(), environment.clock(), environment.monitor());
+        this.load = new LoadView(loadSettings(settings), environment.clock());
+        this.synchroniser =
+                new CacheSynchroniser(
+                        SynchroniserSettings.standard(),
+                        settings.self(),
+                        adapters.engines(),
+                        index,
+                        this::onReport,
+                        environment.scheduler(),
+                        environment.random());
+        directory.onChange((target, state) -> targetsChanged());
+    }
+
+    private static LoadSettings loadSettings(NodeSettings settings) {
+        LoadSettings standard = LoadSettings.standard();
+        return new LoadSettings(
+                settings.prefillTokensPerSecond(),
+                standard.streamsPerTarget(),
+                standard.streamDuration(),
+                standard.expiry());
+    }
+
+    private void targetsChanged() {
+        reports.targetsChanged();
+        synchroniser.engines(directory.accepting(TargetKind.MODEL_ENGINE));
+    }
+
+    private void onReport(Target target, EngineReport report) {
+        directory.observeReport(target.id(), report);
+        index.observe(target.id(), report.incarnation());
+        load.onReport(target.id(), report.queuedTokens(), report.runningStreams());
+        reports.onReport(target, report);
+    }
+
+    TargetDirectory directory() {
+        return directory;
+    }
+
+    EngineReports reports() {
+        return reports;
+    }
+
+    CacheIndex index() {
+        return index;
+    }
+
+    LoadView load() {
+        return load;
+    }
+
+    void start() {
+        directory.start();
+    }
+
+    void stop() {
+        directory.stop();
+        synchroniser.stop();
+    }
+}
