Add a checking caller and a demo workload

Cause: demonstrations and failure tests need callers that resume, retry and notice every broken promise towards them. Change: a caller library with address answers, resume at another daemon and retry of what did not run; a stream checker and an execution audit with typed violations; a seeded workload with nested prefixes, a hot customer and bookings. A frozen engine drops waiting work when it crashes while going on. Before: 58 stand-in tests. After: mvn verify passes with 82; a test router that breaks one promise at a time makes each of the ten checks fail, and a run without a fault has at least 200 concurrent streams and no violation. Not run against the daemon. Conclusion: the workload is ready for the daemon's end-to-end tests.

--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/EngineStandIn.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/EngineStandIn.java
@@ -143,7 +143,8 @@
                     frozen = false;
                     List<Runnable> work = List.copyOf(frozenWork);
                     frozenWork.clear();
-                    work.forEach(Runnable::run);
+                    long currentRun = run;
+                    work.stream().takeWhile(next -> run == currentRun).forEach(Runnable::run);
                     core.pumpAll();
                 });
     }
--- /dev/null
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CallerSettings.java
@@ -0,0 +1,23 @@
+package org.bergamothoist.standin.client;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Describes a caller.
+ *
+ * @param organisation organisation whose key the caller uses
+ * @param knownAddresses daemons' addresses to ask first, as {@code host:port}
+ * @param patience time after which the caller gives up
+ */
+public record CallerSettings(String organisation, List<String> knownAddresses, Duration patience) {
+
+    public CallerSettings {
+        knownAddresses = List.copyOf(knownAddresses);
+    }
+
+    /** Returns a caller that waits a minute. */
+    public static CallerSettings of(String organisation, List<String> knownAddresses) {
+        return new CallerSettings(organisation, knownAddresses, Duration.ofMinutes(1));
+    }
+}
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/TestClient.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/TestClient.java
@@ -16,39 +16,40 @@
 import org.bergamothoist.standin.internal.Json;
 
 /** Calls a stand-in over HTTP. */
-final class TestClient {
+public final class TestClient {
 
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final String address;
 
-    record Answer(int status, byte[] body, java.net.http.HttpHeaders headers) {
+    /** A whole answer. */
+    public record Answer(int status, byte[] body, java.net.http.HttpHeaders headers) {
         JsonNode json() {
             return Json.read(body, JsonNode.class);
         }
     }
 
     /** Events of a stream up to its end; broken if the connection was lost. */
-    record Events(List<String> names, List<JsonNode> data, boolean broken) {
-        List<JsonNode> named(String name) {
+    public record Events(List<String> names, List<JsonNode> data, boolean broken) {
+        public List<JsonNode> named(String name) {
             return Stream.iterate(0, index -> index < names.size(), index -> index + 1)
                     .filter(index -> names.get(index).equals(name))
                     .map(data::get)
                     .toList();
         }
 
-        JsonNode start() {
+        public JsonNode start() {
             return named("start").get(0);
         }
 
-        String text() {
+        public String text() {
             StringBuilder text = new StringBuilder();
             named("piece").forEach(piece -> text.append(piece.get("text").asText()));
             return text.toString();
         }
     }
 
-    TestClient(int port) {
+    public TestClient(int port) {
         address = "http://127.0.0.1:" + port;
     }
 
@@ -60,7 +61,7 @@
         return call("GET", path, new byte[0], Map.of());
     }
 
-    Answer call(String method, String path, byte[] body, Map<String, String> headers) {
+    public Answer call(String method, String path, byte[] body, Map<String, String> headers) {
         try {
             HttpResponse<byte[]> response =
                     client.send(
@@ -78,6 +79,19 @@
         return stream(request("POST", "/v1/completions", Json.write(completion), Map.of()));
     }
 
+    /** Sends a completion without holding a thread; fails if the connection is lost. */
+    public CompletableFuture<Events> completeWhole(Object completion) {
+        return client.sendAsync(
+                        request("POST", "/v1/completions", Json.write(completion), Map.of()),
+                        HttpResponse.BodyHandlers.ofString())
+                .thenApply(
+                        answer -> {
+                            Events events = new Events(new ArrayList<>(), new ArrayList<>(), false);
+                            answer.body().lines().forEach(line -> readLine(line, events));
+                            return events;
+                        });
+    }
+
     CompletableFuture<Events> resume(String streamId, String incarnation, int from) {
         String path = "/v1/streams/" + streamId + "?from=" + from;
         return stream(request("GET", path, new byte[0], Map.of("Engine-Incarnation", incarnation)));
