--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStatePropertiesTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStatePropertiesTest.java
@@ -130,7 +130,8 @@
             case 8 -> checkpoint(random, daemon, reference);
             default ->
                     random.nextBoolean()
-                            ? new LogRecord.QuarantineRelease(List.of(fingerprint(random.nextInt(5))), "")
+                            ? new LogRecord.QuarantineRelease(
+                                    List.of(fingerprint(random.nextInt(5))), "")
                             : new LogRecord.Unknown("newer version");
         };
     }
