--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStateTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStateTest.java
@@ -15,6 +15,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.log.FoldResult.ClaimsDecided;
@@ -170,14 +171,17 @@
         apply(joined(FIRST));
         apply(joined(SECOND));
         apply(joined(daemon("c", 1)));
+        apply(joined(daemon("d", 1)));
         apply(new LogRecord.DaemonLeft(daemon("c", 0), FIRST));
+        assertThat(smallestRosters()).containsExactly(1, 2, 3, 4);
         apply(new LogRecord.DaemonLeft(daemon("c", 1), FIRST));
-        apply(joined(daemon("c", 2)));
+        assertThat(smallestRosters()).containsExactly(1, 2, 3);
         apply(joined(daemon("b", 2)));
+        assertThat(smallestRosters()).containsExactly(1, 3, 3);
+    }
 
-        assertThat(state.roster())
-                .extracting(RosterMember::smallestRosterSince)
-                .containsExactly(1, 3, 3);
+    private List<Integer> smallestRosters() {
+        return state.roster().stream().map(RosterMember::smallestRosterSince).toList();
     }
 
     @Test
