--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/OutboundHttp.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/OutboundHttp.java
@@ -67,6 +67,8 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 5;
     private static final int KEEP_ALIVE_PROBES = 3;
     private static final String SENDING_HOOK = "org.bergamothoist.sending-hook";
+    private static final String USER_AGENT = "User-Agent";
+    private static final String PRODUCT = "bergamothoist";
     private static final int LONGEST_MESSAGE = 200;
 
     private final CloseableHttpAsyncClient dispatches;
@@ -89,7 +91,7 @@
                                 connections(connect, MAXIMUM_DISPATCHES, MAXIMUM_DISPATCHES))
                         .setConnectionReuseStrategy((request, response, context) -> false)
                         .addRequestInterceptorLast(
-                                (request, entity, context) -> runSendingHook(context))
+                                (request, entity, context) -> beforeSending(request, context))
                         .build();
         controls =
                 builder(1, connect, Timeout.of(controlTimeout))
@@ -111,6 +113,7 @@
                 .disableAuthCaching()
                 .disableContentCompression()
                 .disableConnectionState()
+                .setUserAgent(PRODUCT)
                 .setIoReactorExceptionCallback(this::reactorFailed)
                 .setHttp1Config(Http1Config.custom().setInitialWindowSize(READ_AHEAD_BYTES).build())
                 .setIOReactorConfig(
@@ -146,7 +149,12 @@
                 .build();
     }
 
-    private static void runSendingHook(HttpContext context) {
+    /** Undoes the client's own header, since callers' headers are forwarded unchanged. */
+    private static void beforeSending(HttpRequest request, HttpContext context) {
+        if (request.containsHeader(USER_AGENT)
+                && PRODUCT.equals(request.getFirstHeader(USER_AGENT).getValue())) {
+            request.removeHeaders(USER_AGENT);
+        }
         if (context.getAttribute(SENDING_HOOK) instanceof Runnable hook) {
             hook.run();
         }
@@ -159,6 +167,7 @@
      */
     Future<Void> dispatch(
             HttpRequest request, AsyncEntityProducer entity, AbstractDispatch dispatch) {
+        request.setHeader("Connection", "close");
         HttpClientContext context = HttpClientContext.create();
         context.setAttribute(SENDING_HOOK, (Runnable) dispatch::sending);
         return dispatches.execute(
