--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetCsvTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetCsvTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.MessageDigest;
+import java.util.Base64;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -214,7 +215,9 @@
         assertThat(sheet.entries()).hasSize(8);
         MessageDigest digest = MessageDigest.getInstance("SHA-256");
         for (OrganisationEntry entry : sheet.entries()) {
-            byte[] key = (entry.organisation() + "-caller-key").getBytes(UTF_8);
+            byte[] name = entry.organisation().value().getBytes(UTF_8);
+            String encoded = Base64.getUrlEncoder().withoutPadding().encodeToString(name);
+            byte[] key = (encoded + "-caller-key").getBytes(UTF_8);
             assertThat(entry.keyDigest()).isEqualTo(HexFormat.of().formatHex(digest.digest(key)));
         }
         assertThat(
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.node.NodeAdapters;
 import org.bergamothoist.core.node.Router;
 import org.bergamothoist.core.platform.CacheStore;
 import org.bergamothoist.core.platform.EngineClient;
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/RouterFactory.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/RouterFactory.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.node.NodeAdapters;
 import org.bergamothoist.core.node.Router;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.daemon.settings.DaemonSettings;
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CallerTransport.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CallerTransport.java
@@ -67,7 +67,7 @@
     /** Begins a request of an organisation. */
     static HttpRequest.Builder request(String address, String path, String organisation) {
         return HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .header("Authorization", "Bearer " + organisation + "-caller-key");
+                .header("Authorization", "Bearer " + ExampleKeys.callerKey(organisation));
     }
 
     @Override
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/CompletionCallerTest.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/CompletionCallerTest.java
@@ -112,7 +112,7 @@
         assertThat(result.code()).isEqualTo("LIMIT_EXCEEDED");
         assertThat(result.sendings()).extracting(Sending::requestId).doesNotHaveDuplicates();
         requestIds().forEach(RequestId::parse);
-        assertThat(requests.get(0).header("Authorization")).hasValue("Bearer org-caller-key");
+        assertThat(requests.get(0).header("Authorization")).hasValue("Bearer b3Jn-caller-key");
         assertThat(requests.get(0).header("Request-Priority")).hasValue("5");
     }
 
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/TestRouter.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/TestRouter.java
@@ -111,7 +111,7 @@
 
     private static String organisation(StandInRequest request) {
         String key = request.header("Authorization").orElseThrow().substring("Bearer ".length());
-        return key.substring(0, key.length() - "-caller-key".length());
+        return ExampleKeys.organisation(key);
     }
 
     private void answer(
