--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/ClaimController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/ClaimController.java
@@ -254,8 +254,8 @@
             return;
         }
         lastAppendAt = clock.instant();
-        // Whatever the answer is, only the fold decides; the answer is a sign that a read pays.
-        send(batch).whenCompleteAsync((offset, failure) -> tail.readNow(), scheduler);
+        // Only the fold decides; the answer, good or bad, just triggers a read.
+        send(batch).whenComplete((offset, failure) -> scheduler.execute(tail::readNow));
     }
 
     private CompletionStage<Long> send(ClaimBatch batch) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogAppender.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogAppender.java
@@ -64,7 +64,9 @@
         pending.add(append);
         append.deadline = scheduler.schedule(deadline, () -> expire(append, deadline));
         append.answerTimeout = scheduler.schedule(ANSWER_TIMEOUT, tail::readNow);
-        send(record).whenCompleteAsync((offset, failure) -> onAnswer(append, offset), scheduler);
+        send(record)
+                .whenComplete(
+                        (offset, failure) -> scheduler.execute(() -> onAnswer(append, offset)));
         return append.result;
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
@@ -31,6 +31,9 @@
      */
     private static final Duration OUTAGE_GRACE = Duration.ofSeconds(1);
 
+    /** Confirmed age that a daemon tells its peers if it never saw the log's end. */
+    public static final Duration NEVER_CONFIRMED = Duration.ofDays(1);
+
     /** Smallest part of a backoff delay that the jitter leaves. */
     private static final double MINIMUM_JITTER = 0.5;
 
@@ -147,10 +150,11 @@
     /** Returns a message for a peer that lags; empty if the records it lacks are not kept. */
     public Optional<LogTailRelay> relayAfter(long offset, int maximum) {
         List<LogEntry> entries = entriesAfter(offset, maximum);
-        if (entries.isEmpty() || confirmedAt == null) {
+        if (entries.isEmpty()) {
             return Optional.empty();
         }
-        return confirmedAge().map(age -> new LogTailRelay(entries, appliedOffset() + 1, age));
+        Duration age = confirmedAge().orElse(NEVER_CONFIRMED);
+        return Optional.of(new LogTailRelay(entries, appliedOffset() + 1, age));
     }
 
     /** Reads now instead of at the next interval; a read in flight is followed by another. */
@@ -181,16 +185,18 @@
         readInFlight = read;
         read.timeout =
                 scheduler.schedule(settings.readTimeout(), () -> fail(read, "no answer in time"));
+        // The hop by the scheduler, not by the stage, lets failures of listeners reach its handler.
         request(from)
-                .whenCompleteAsync(
-                        (page, failure) -> {
-                            if (failure == null) {
-                                accept(read, page);
-                            } else {
-                                fail(read, failure.getMessage());
-                            }
-                        },
-                        scheduler);
+                .whenComplete(
+                        (page, failure) -> scheduler.execute(() -> answer(read, page, failure)));
+    }
+
+    private void answer(Read read, LogPage page, Throwable failure) {
+        if (failure == null) {
+            accept(read, page);
+        } else {
+            fail(read, failure.getMessage());
+        }
     }
 
     private CompletionStage<LogPage> request(long from) {
@@ -234,17 +240,26 @@
         failures = 0;
         lastAnswerAt = clock.instant();
         firstRetainedOffset = page.firstRetainedOffset();
+        try {
+            use(read, page);
+        } finally {
+            // Reading goes on even if a listener fails.
+            if (running) {
+                schedule(needsMore(page) || readAgain ? Duration.ZERO : settings.pollInterval());
+            }
+        }
+    }
+
+    private void use(Read read, LogPage page) {
         if (search.isRunning() && read.fromOffset == search.nextOffset()) {
             continueSearch(page);
         } else {
             foldPage(read, page);
         }
-        if (!running) {
-            return;
-        }
-        boolean more =
-                search.isRunning() || (!searchNeeded && appliedOffset() + 1 < page.endOffset());
-        schedule(more || readAgain ? Duration.ZERO : settings.pollInterval());
+    }
+
+    private boolean needsMore(LogPage page) {
+        return search.isRunning() || (!searchNeeded && appliedOffset() + 1 < page.endOffset());
     }
 
     private void foldPage(Read read, LogPage page) {
@@ -317,7 +332,7 @@
     public void acceptRelay(LogTailRelay relay, Duration transit) {
         relay.entries().forEach(this::fold);
         if (appliedOffset() > 0 && appliedOffset() + 1 == relay.endOffset()) {
-            confirm(clock.instant().minus(relay.confirmedAge()).minus(transit));
+            confirmFromPeer(relay.confirmedAge(), transit);
         }
     }
 
@@ -336,7 +351,17 @@
             return false;
         }
         restore(snapshot);
-        confirm(clock.instant().minus(confirmedAge).minus(transit));
+        confirmFromPeer(confirmedAge, transit);
         return true;
     }
+
+    private void confirmFromPeer(Duration confirmedAge, Duration transit) {
+        boolean plausible =
+                !confirmedAge.isNegative()
+                        && !transit.isNegative()
+                        && confirmedAge.compareTo(NEVER_CONFIRMED) < 0;
+        if (plausible) {
+            confirm(clock.instant().minus(confirmedAge).minus(transit));
+        }
+    }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/SheetReach.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/SheetReach.java
@@ -57,11 +57,12 @@
         }
         long offset = verdict.firstOffset();
         List<RosterMember> lagging = laggingMembers(offset, roster, views);
-        List<DaemonId> guests = laggingGuests(offset, roster, views);
-        boolean complete = lagging.isEmpty() && guests.isEmpty();
+        List<DaemonId> nonMembers = laggingNonMembers(offset, roster, views);
+        boolean complete = lagging.isEmpty() && nonMembers.isEmpty();
         boolean inForce = follow(offset, complete, areFew(lagging));
         List<DaemonId> all =
-                Stream.concat(lagging.stream().map(RosterMember::daemon), guests.stream()).toList();
+                Stream.concat(lagging.stream().map(RosterMember::daemon), nonMembers.stream())
+                        .toList();
         return new SheetStatus(verdict, inForce ? Reach.IN_FORCE : Reach.RECORDED, all);
     }
 
@@ -98,7 +99,7 @@
     }
 
     /** Daemons that serve before their join is recorded, for example after a restart. */
-    private static List<DaemonId> laggingGuests(
+    private static List<DaemonId> laggingNonMembers(
             long offset, Collection<RosterMember> roster, Collection<DaemonView> views) {
         Set<DaemonId> members =
                 roster.stream().map(RosterMember::daemon).collect(Collectors.toSet());
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
@@ -1,6 +1,7 @@
 package org.bergamothoist.core.log;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.bergamothoist.core.log.Records.FIRST;
 import static org.bergamothoist.core.log.Records.daemon;
 import static org.bergamothoist.core.log.Records.joined;
@@ -209,4 +210,28 @@
         assertThat(tail.acceptSnapshot(foldTo(9).snapshot(), SECOND, SECOND)).isFalse();
         assertThat(state.appliedOffset()).isEqualTo(10);
     }
+
+    @Test
+    @DisplayName("guards against the end of reading because one listener fails")
+    void readsOnAfterAListenerFails() {
+        tail.addListener(
+                (entry, result) -> {
+                    throw new IllegalStateException("listener failed");
+                });
+        addRecords(2);
+        assertThatThrownBy(this::start).hasMessage("listener failed");
+        assertThatThrownBy(() -> time.advance(SECOND)).hasMessage("listener failed");
+        assertThat(state.appliedOffset()).isEqualTo(2);
+    }
+
+    @Test
+    @DisplayName("guards against a wrong age from a peer that stops the tail or looks fresh")
+    void implausibleAgesDoNotConfirm() {
+        addRecords(2);
+        Duration longest = Duration.ofSeconds(Long.MAX_VALUE);
+        tail.acceptSnapshot(foldTo(1).snapshot(), longest, SECOND);
+        tail.acceptSnapshot(foldTo(2).snapshot(), SECOND.negated(), SECOND);
+        assertThat(state.appliedOffset()).isEqualTo(2);
+        assertThat(tail.confirmedAge()).isEmpty();
+    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachTest.java
@@ -93,7 +93,7 @@
 
     @Test
     @DisplayName("guards against a restarted daemon that is not in the roster yet being overlooked")
-    void laggingGuestIsWaitedFor() {
+    void laggingNonMemberIsWaitedFor() {
         List<DaemonView> views = applied(0, 3, SHEET);
         views.add(new DaemonView(daemon("d9", 2), SHEET - 1, Duration.ZERO));
         assertThat(status(roster(3, 3, 3), views)).isEqualTo(Reach.RECORDED);
