--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/ConfigurationFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/ConfigurationFreshness.java
@@ -38,9 +38,20 @@
      * @param age upper bound of the time since the daemon sent the message. The time since its
      *     arrival is not enough, since a message may be held up in the network; the time since the
      *     receiver's own message that it acknowledges is a bound.
+     * @param firstHand whether the daemon itself said so. What others say of it proves that it
+     *     lives, but their confirmation may be of a later record than its offset.
      */
     public record PeerView(
-            DaemonId daemon, long appliedOffset, Duration confirmedAge, Duration age) {
+            DaemonId daemon,
+            long appliedOffset,
+            Duration confirmedAge,
+            Duration age,
+            boolean firstHand) {
+
+        /** Creates a view that the daemon itself reported. */
+        public PeerView(DaemonId daemon, long appliedOffset, Duration confirmedAge, Duration age) {
+            this(daemon, appliedOffset, confirmedAge, age, true);
+        }
 
         private boolean isRecent() {
             return age.compareTo(WINDOW) <= 0;
@@ -78,6 +89,7 @@
         return ownFresh
                 || peers.stream()
                         .filter(PeerView::isFresh)
+                        .filter(PeerView::firstHand)
                         .anyMatch(peer -> peer.appliedOffset() == own.appliedOffset());
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -242,6 +242,7 @@
                     0,
                     RosterDigest.NEVER,
                     RosterDigest.NEVER,
+                    false,
                     false);
         }
         return new PeerView(
@@ -250,7 +251,8 @@
                 state.appliedOffset(),
                 PeerState.age(state.confirmedAt(confirmedAt), now),
                 PeerState.age(state.heardAt(), now),
-                isLive(state, now));
+                isLive(state, now),
+                state.isFirstHand());
     }
 
     /** Returns the daemons of the roster that live, this one included. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerState.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerState.java
@@ -89,7 +89,12 @@
      * Returns when it confirmed the end of the log, or the bound if it was heard through others.
      */
     Instant confirmedAt(Instant boundThroughOthers) {
-        return heardDirectlyAt.equals(heardAt) ? confirmedAt : boundThroughOthers;
+        return isFirstHand() ? confirmedAt : boundThroughOthers;
+    }
+
+    /** Returns whether the newest information came from the daemon itself. */
+    boolean isFirstHand() {
+        return heardDirectlyAt.equals(heardAt);
     }
 
     void forEachDemand(Instant notBefore, BiConsumer<OrganisationId, Integer> consumer) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerView.java
@@ -15,6 +15,8 @@
  * @param informationAge upper bound of the time since it was heard to live, directly or through
  *     others
  * @param live whether that time is short enough
+ * @param firstHand whether the newest information came from the daemon itself; only then its
+ *     confirmation is its own
  */
 public record PeerView(
         DaemonId daemon,
@@ -22,4 +24,5 @@
         long appliedOffset,
         Duration confirmedAge,
         Duration informationAge,
-        boolean live) {}
+        boolean live,
+        boolean firstHand) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/ConfigurationView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/ConfigurationView.java
@@ -36,7 +36,8 @@
                             peer.daemon(),
                             peer.appliedOffset(),
                             atMessage.isNegative() ? Duration.ZERO : atMessage,
-                            peer.informationAge()));
+                            peer.informationAge(),
+                            peer.firstHand()));
         }
         return ConfigurationFreshness.of(
                 new ConfigurationFreshness.OwnView(
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/StateMapper.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/StateMapper.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.log.SharedStateSnapshot.ClaimState;
 import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
+import org.bergamothoist.core.log.SharedStateSnapshot.LostEngine;
 import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.sheet.SheetVerdict;
@@ -159,18 +160,34 @@
     }
 
     private static StateMessages.Suspicion toMessage(Suspicion suspicion) {
-        return StateMessages.Suspicion.newBuilder()
-                .setFingerprint(toBytes(suspicion.fingerprint()))
-                .setLosses(suspicion.losses())
-                .setExpiresAt(toMessage(suspicion.expiresAt()))
+        StateMessages.Suspicion.Builder builder =
+                StateMessages.Suspicion.newBuilder()
+                        .setFingerprint(toBytes(suspicion.fingerprint()))
+                        .setLosses(suspicion.losses())
+                        .setExpiresAt(toMessage(suspicion.expiresAt()));
+        suspicion.engines().forEach(engine -> builder.addEngines(toMessage(engine)));
+        return builder.build();
+    }
+
+    private static StateMessages.LostEngine toMessage(LostEngine engine) {
+        return StateMessages.LostEngine.newBuilder()
+                .setTarget(engine.target().value())
+                .setIncarnation(engine.incarnation().value())
                 .build();
     }
 
+    private static LostEngine toLostEngine(StateMessages.LostEngine message) {
+        return new LostEngine(
+                new TargetId(message.getTarget()),
+                new EngineIncarnation(message.getIncarnation()));
+    }
+
     private static Suspicion toSuspicion(StateMessages.Suspicion message) {
         return new Suspicion(
                 toFingerprint(message.getFingerprint()),
                 message.getLosses(),
-                toInstant(message.getExpiresAt()));
+                toInstant(message.getExpiresAt()),
+                message.getEnginesList().stream().map(StateMapper::toLostEngine).toList());
     }
 
     static StateMessages.ClaimKey toMessage(ClaimKey key) {
