--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/StateMapper.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/StateMapper.java
@@ -8,14 +8,16 @@
 import java.util.List;
 import java.util.UUID;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.EngineIncarnation;
 import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.log.LogRecord.ClaimKey;
 import org.bergamothoist.core.log.SharedStateSnapshot;
 import org.bergamothoist.core.log.SharedStateSnapshot.ClaimState;
 import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
-import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
 import org.bergamothoist.core.log.SharedStateSnapshot.LostEngine;
+import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
 import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.sheet.SheetVerdict;
@@ -178,8 +180,7 @@
 
     private static LostEngine toLostEngine(StateMessages.LostEngine message) {
         return new LostEngine(
-                new TargetId(message.getTarget()),
-                new EngineIncarnation(message.getIncarnation()));
+                new TargetId(message.getTarget()), new EngineIncarnation(message.getIncarnation()));
     }
 
     private static Suspicion toSuspicion(StateMessages.Suspicion message) {
--- a/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/Samples.java
+++ b/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/Samples.java
@@ -140,7 +140,13 @@
                 list(
                         () ->
                                 new SharedStateSnapshot.Suspicion(
-                                        fingerprint(), random.nextInt(), instant())));
+                                        fingerprint(),
+                                        random.nextInt(),
+                                        instant(),
+                                        List.of(
+                                                new SharedStateSnapshot.LostEngine(
+                                                        new TargetId("engine-1"),
+                                                        new EngineIncarnation("i-1"))))));
     }
 
     private SheetVerdict verdict() {
