--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorFilter.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorFilter.java
@@ -12,13 +12,12 @@
 import org.bergamothoist.daemon.settings.OperatorKey;
 
 /** Lets only operators with a known key use the operators' interface. */
+@OperatorsOnly
 public final class OperatorFilter implements ContainerRequestFilter {
 
     /** Request property that holds the {@link OperatorKey}. */
     static final String OPERATOR = "org.bergamothoist.operator";
 
-    private static final String PROTECTED = "operator";
-
     private final OperatorKeys keys;
 
     @Inject
@@ -28,9 +27,6 @@
 
     @Override
     public void filter(ContainerRequestContext request) {
-        if (!PROTECTED.equals(request.getUriInfo().getPathSegments().get(0).getPath())) {
-            return;
-        }
         Optional<OperatorKey> operator = keys.find(request.getHeaderString("Authorization"));
         if (operator.isPresent()) {
             request.setProperty(OPERATOR, operator.get());
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorResource.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorResource.java
@@ -30,6 +30,7 @@
 import org.bergamothoist.daemon.settings.OperatorKey;
 
 /** Serves operators; {@link OperatorFilter} has checked their key. */
+@OperatorsOnly
 @Path("/operator")
 @Produces(MediaType.APPLICATION_JSON)
 public final class OperatorResource {
