--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -18,7 +18,13 @@
         mixinStandardHelpOptions = true,
         version = "bergamothoist 0.1.0",
         description = "Routes language-model requests with long shared prompts.",
-        subcommands = {ServeCommand.class, CheckSettingsCommand.class})
+        subcommands = {
+            ServeCommand.class,
+            CheckSettingsCommand.class,
+            SheetCommand.class,
+            StatusCommand.class,
+            TimelineCommand.class
+        })
 public final class BergamothoistCommand implements Runnable {
 
     @Spec private CommandSpec spec;
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
@@ -1,8 +1,12 @@
 package org.bergamothoist.cli;
 
+import com.google.inject.Guice;
 import com.google.inject.Module;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.daemon.operator.SheetParser;
 import picocli.CommandLine;
 import picocli.CommandLine.IFactory;
 
@@ -26,6 +30,17 @@
         if (type == CheckSettingsCommand.class) {
             return type.cast(new CheckSettingsCommand(environment));
         }
+        if (type == SheetCheckCommand.class) {
+            return type.cast(new SheetCheckCommand(this::parse));
+        }
+        if (type == SheetDifferenceCommand.class) {
+            return type.cast(new SheetDifferenceCommand(this::parse));
+        }
         return defaults.create(type);
     }
+
+    /** Looks the parser up when it is used, since other commands must work without it. */
+    private List<OrganisationEntry> parse(String csv) {
+        return Guice.createInjector(parts.get()).getInstance(SheetParser.class).parse(csv);
+    }
 }
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -1,6 +1,9 @@
 package org.bergamothoist.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.jvm.GarbageCollectorMetricSet;
+import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
+import com.codahale.metrics.jvm.ThreadStatesGaugeSet;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
 import com.google.inject.Module;
@@ -53,6 +56,9 @@
     private DaemonInstance(DaemonSettings settings, Module parts) {
         this.settings = settings;
         injector = Guice.createInjector(new DaemonModule(settings, metrics), parts);
+        metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
+        metrics.registerAll("jvm.gc", new GarbageCollectorMetricSet());
+        metrics.registerAll("jvm.threads", new ThreadStatesGaugeSet());
     }
 
     /**
@@ -196,9 +202,8 @@
                             .stopDeadline()
                             .plus(settings.timings().addressLifetime())
                             .plus(STOP_MARGIN);
-            router().stop()
-                    .toCompletableFuture()
-                    .copy()
+            CompletableFuture.completedFuture(router())
+                    .thenCompose(Router::stop)
                     .orTimeout(limit.toMillis(), TimeUnit.MILLISECONDS)
                     .whenCompleteAsync(this::routerStopped, closer());
         }
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
@@ -221,6 +221,30 @@
         }
     }
 
+    /** Guards against streams held for ever by a caller that has stopped reading. */
+    @Test
+    void cancelsStreamOfStuckCaller() throws Exception {
+        try (RawClient client = daemon.connect().complete(BODY)) {
+            FakeRouter.Running running = daemon.router.next();
+            running.listener.onStart(ID, KEY, "token", 0);
+            String text = "x".repeat(8000);
+            for (int index = 0; running.take(); index++) {
+                running.listener.onPiece(index, text, 1);
+            }
+            await().atMost(Duration.ofSeconds(20)).until(running::isCancelled);
+            assertThat(client.socket.isClosed()).isFalse();
+        }
+    }
+
+    /** Guards against headers that exhaust the memory. */
+    @Test
+    void refusesOversizedHeaders() throws Exception {
+        try (RawClient client = daemon.connect().complete(BODY, "X-Long: " + "x".repeat(17_000))) {
+            assertThat(client.head()).startsWith("HTTP/1.1 431");
+        }
+        assertThat(daemon.router.requests).isEmpty();
+    }
+
     /** Guards against work for callers that are gone, before and after the first event. */
     @ParameterizedTest
     @CsvSource({"false", "true"})
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/ServiceInterfaceTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/ServiceInterfaceTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ServiceInterfaceTest {
 
@@ -135,4 +137,26 @@
         await().atMost(Duration.ofSeconds(20)).until(query::isCancelled);
         assertThat(order.isCancelled()).isFalse();
     }
+
+    /** Guards against answers without a body that confuse the connection's next request. */
+    @ParameterizedTest
+    @CsvSource({"HEAD, 200, 10", "GET, 304, 10", "DELETE, 204, "})
+    void passesAnswersWithoutBody(String method, int status, String length) throws Exception {
+        try (RawClient client = daemon.connect()) {
+            for (int repeat = 0; repeat < 2; repeat++) {
+                client.send(method, "/v1/services/app/x", "", "Authorization: Bearer known");
+                FakeRouter.Running running = daemon.router.next();
+                running.answer.onHead(
+                        ID,
+                        status,
+                        length == null ? Map.of() : Map.of("Content-Length", List.of(length)));
+                running.answer.onOutcome(ID, new Outcome.Answered());
+                String head = client.head();
+                assertThat(head).startsWith("HTTP/1.1 " + status);
+                if (length != null) {
+                    assertThat(head).contains("Content-Length: " + length);
+                }
+            }
+        }
+    }
 }
