Count the delay that a prefill adds to other requests

Once queues had grown, the policy recomputed prefixes elsewhere to avoid the queue, which made all queues longer; it never recovered.

--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/DecayingRate.java
@@ -0,0 +1,39 @@
+package org.bergamothoist.core.placement;
+
+import java.time.InstantSource;
+
+/** Estimates the events a second with an exponentially decaying count. */
+final class DecayingRate {
+
+    /** Time constant: a rate of 1 event a second is then known to within about a third. */
+    private static final double SECONDS = 10.0;
+
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
+    private final InstantSource clock;
+    private double count;
+    private long updatedAt;
+
+    DecayingRate(InstantSource clock) {
+        this.clock = clock;
+        this.updatedAt = clock.millis();
+    }
+
+    void add() {
+        decay();
+        count++;
+    }
+
+    double perSecond() {
+        decay();
+        return count / SECONDS;
+    }
+
+    private void decay() {
+        long now = clock.millis();
+        if (now != updatedAt) {
+            count *= Math.exp((updatedAt - now) / MILLISECONDS_PER_SECOND / SECONDS);
+            updatedAt = now;
+        }
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LoadView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LoadView.java
@@ -22,11 +22,13 @@
     private final InstantSource clock;
     private final Map<TargetId, TargetLoad> loads = new HashMap<>();
     private final Map<DaemonId, PeerLoad> peers = new HashMap<>();
+    private final DecayingRate dispatches;
 
     /** Creates a view without any load. */
     public LoadView(LoadSettings settings, InstantSource clock) {
         this.settings = settings;
         this.clock = clock;
+        this.dispatches = new DecayingRate(clock);
     }
 
     /** Returns what is assumed of engines. */
@@ -39,6 +41,7 @@
         TargetLoad load = load(target);
         load.ownTokens += uncachedTokens;
         load.ownStreams++;
+        dispatches.add();
     }
 
     /** Takes off the prompt of a dispatched request: its first token has come, or it has failed. */
@@ -97,6 +100,11 @@
         return peers.size() + 1;
     }
 
+    /** Returns the estimated requests a second that all daemons dispatch together. */
+    public double dispatchesPerSecond() {
+        return dispatches.perSecond() * daemons();
+    }
+
     /** Returns this daemon's outstanding work by target, for its heartbeats. */
     public Map<TargetId, Outstanding> ownOutstanding() {
         Map<TargetId, Outstanding> outstanding = new HashMap<>();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementWeights.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementWeights.java
@@ -21,7 +21,7 @@
     }
 
     /**
-     * Returns the cost that placement minimises.
+     * Returns the request's own cost in weighted seconds.
      *
      * @param queueingSeconds predicted time until the prompt is computed
      * @param prefillSeconds predicted time to compute the part of the prompt that is not cached
