--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -19,6 +19,7 @@
         version = "bergamothoist 0.1.0",
         description = "Routes language-model requests with long shared prompts.",
         subcommands = {
+            MeasureCapacityCommand.class,
             ServeCommand.class,
             CheckSettingsCommand.class,
             SheetCommand.class,
