--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/SizeFilter.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/SizeFilter.java
@@ -28,8 +28,7 @@
     @Override
     public void apply(CompletionExchange exchange, Runnable proceed) {
         CompletionSubmission submission = exchange.submission();
-        if (submission.prompt().text().length() > maximumPromptBytes
-                || submission.prompt().bytes().length > maximumPromptBytes) {
+        if (submission.prompt().byteLength() > maximumPromptBytes) {
             refuse(exchange, ErrorCode.TOO_LARGE, "the prompt exceeds its bound");
             return;
         }
