Copy hot prefixes by way of the KV cache store and save those of leaving engines

Cause: the policy asked for imports, but nothing exported blocks, so imports found nothing. Change: replica controller: looks in the store, exports from the best holder, then imports; drains leaving engines; shared base for engine clients in tests. Before: imports without exports. After: tests for order, store outage, repetition and drain pass; effect on hit rate not measured yet.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -1,9 +1,7 @@
 package org.bergamothoist.core.node;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,9 +21,8 @@
 import org.bergamothoist.core.placement.PlacementPolicy;
 import org.bergamothoist.core.placement.PlacementRequest;
 import org.bergamothoist.core.placement.PlacementView;
-import org.bergamothoist.core.platform.BlockTransfer;
+import org.bergamothoist.core.placement.ReplicaController;
 import org.bergamothoist.core.platform.EngineAnswerStart;
-import org.bergamothoist.core.platform.EngineClient;
 import org.bergamothoist.core.platform.Target;
 import org.bergamothoist.core.platform.TargetFailure;
 import org.bergamothoist.core.request.CompletionExchange;
@@ -43,7 +40,7 @@
     private final LoadView load;
     private final TargetDirectory directory;
     private final EngineReports reports;
-    private final EngineClient engineClient;
+    private final ReplicaController replicas;
     private final NodeMetrics metrics;
     private final Timeline timeline;
     private final Map<CompletionExchange, OutstandingPrompt> outstanding = new HashMap<>();
@@ -56,14 +53,14 @@
             LoadView load,
             TargetDirectory directory,
             EngineReports reports,
-            EngineClient engineClient,
+            ReplicaController replicas,
             Reporting reporting) {
         this.policy = policy;
         this.index = index;
         this.load = load;
         this.directory = directory;
         this.reports = reports;
-        this.engineClient = engineClient;
+        this.replicas = replicas;
         this.metrics = reporting.metrics();
         this.timeline = reporting.timeline();
     }
@@ -156,8 +153,13 @@
     public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
         TargetId target = choice.target().id();
         directory.beforeDispatch(target);
+        replicas.onRouted(exchange.organisationId(), exchange.modelKey(), exchange.chain());
         if (choice.importReplica()) {
-            requestReplica(exchange, choice);
+            replicas.replicate(
+                    exchange.organisationId(),
+                    exchange.modelKey(),
+                    exchange.chain(),
+                    choice.target());
         }
         int uncached = exchange.chain().uncachedTokens(choice.predictedCachedBlocks());
         int predicted = choice.predictedCachedBlocks() * exchange.chain().blockTokens();
@@ -166,21 +168,6 @@
         index.onDispatch(target, exchange.chain());
     }
 
-    private void requestReplica(CompletionExchange exchange, EngineChoice choice) {
-        List<Long> blocks = new ArrayList<>();
-        for (int block = 0; block < exchange.chain().length(); block++) {
-            blocks.add(exchange.chain().hash(block));
-        }
-        timeline.record(
-                EventKind.REPLICA_REQUESTED,
-                choice.target().id().toString(),
-                blocks.size() + " blocks");
-        engineClient.transferBlocks(
-                choice.target(),
-                exchange.organisationId(),
-                new BlockTransfer(BlockTransfer.Direction.IMPORT, exchange.modelKey(), blocks));
-    }
-
     @Override
     public void onAnswerStarted(
             CompletionExchange exchange, Target target, EngineAnswerStart start) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeSettings.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeSettings.java
@@ -19,6 +19,8 @@
  * @param stopDeadline longest time for which a planned stop waits for streams
  * @param modelsPerEngine most models, adapters and versions on one engine
  * @param prefillTokensPerSecond prompt tokens that an engine computes a second, for predictions
+ * @param importTokensPerSecond prompt tokens that an engine imports a second, 0 without a KV cache
+ *     store
  * @param ordersEnabled whether this deployment's daemons give orders to engines
  */
 public record NodeSettings(
@@ -36,5 +38,6 @@
         Duration stopDeadline,
         int modelsPerEngine,
         int prefillTokensPerSecond,
+        int importTokensPerSecond,
         boolean ordersEnabled,
         DispatchSettings dispatch) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -81,14 +81,12 @@
                         environment.clock());
         this.placement =
                 new CompletionPlacement(
-                        new PrefixAwarePolicy(
-                                PlacementSettings.standard(settings.weights()),
-                                environment.random()),
+                        new PrefixAwarePolicy(placementSettings(settings), environment.random()),
                         targets.index(),
                         targets.load(),
                         targets.directory(),
                         targets.reports(),
-                        adapters.engines(),
+                        targets.replicas(),
                         new CompletionPlacement.Reporting(metrics, environment.timeline()));
         ResumeTokenCodec tokenCodec = new ResumeTokenCodec(settings.deploymentKey());
         this.completionDispatcher = createCompletionDispatcher(tokenCodec);
@@ -107,6 +105,18 @@
             AdmissionLimits limits,
             QuarantineController.SuspicionPublisher publisher) {}
 
+    private static PlacementSettings placementSettings(NodeSettings settings) {
+        PlacementSettings standard = PlacementSettings.standard(settings.weights());
+        return new PlacementSettings(
+                standard.weights(),
+                standard.holders(),
+                standard.homes(),
+                standard.maximumHomes(),
+                standard.randomTargets(),
+                standard.maximumQueueingDelay(),
+                settings.importTokensPerSecond());
+    }
+
     private int lossesInLog(Fingerprint fingerprint) {
         return log.state().suspicion(fingerprint).map(Suspicion::losses).orElse(0);
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/TargetKnowledge.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/TargetKnowledge.java
@@ -1,12 +1,15 @@
 package org.bergamothoist.core.node;
 
+import java.util.Map;
 import org.bergamothoist.core.cache.CacheIndex;
 import org.bergamothoist.core.cache.CacheIndexSettings;
 import org.bergamothoist.core.cache.CacheSynchroniser;
 import org.bergamothoist.core.cache.SynchroniserSettings;
 import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.membership.TargetState;
 import org.bergamothoist.core.placement.LoadSettings;
 import org.bergamothoist.core.placement.LoadView;
+import org.bergamothoist.core.placement.ReplicaController;
 import org.bergamothoist.core.platform.EngineReport;
 import org.bergamothoist.core.platform.Target;
 import org.bergamothoist.core.platform.TargetKind;
@@ -19,6 +22,7 @@
     private final CacheIndex index;
     private final LoadView load;
     private final CacheSynchroniser synchroniser;
+    private final ReplicaController replicas;
 
     TargetKnowledge(
             NodeSettings settings, NodeAdapters adapters, RouterNode.Environment environment) {
@@ -44,7 +48,17 @@
                         this::onReport,
                         environment.scheduler(),
                         environment.random());
-        directory.onChange((target, state) -> targetsChanged());
+        this.replicas =
+                new ReplicaController(
+                        new ReplicaController.Parts(
+                                adapters.engines(),
+                                adapters.cacheStore(),
+                                index,
+                                id -> directory.find(id).map(Map.Entry::getKey),
+                                environment.scheduler(),
+                                environment.clock(),
+                                environment.timeline()));
+        directory.onChange(this::targetsChanged);
     }
 
     private static LoadSettings loadSettings(NodeSettings settings) {
@@ -56,7 +70,10 @@
                 standard.expiry());
     }
 
-    private void targetsChanged() {
+    private void targetsChanged(Target target, TargetState state) {
+        if (state == TargetState.LEAVING && target.kind() == TargetKind.MODEL_ENGINE) {
+            replicas.drain(target);
+        }
         reports.targetsChanged();
         synchroniser.engines(directory.accepting(TargetKind.MODEL_ENGINE));
     }
@@ -84,6 +101,10 @@
         return load;
     }
 
+    ReplicaController replicas() {
+        return replicas;
+    }
+
     void start() {
         directory.start();
     }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/ScriptedEngineClient.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/ScriptedEngineClient.java
@@ -7,23 +7,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.identity.EngineIncarnation;
-import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.identity.TargetId;
-import org.bergamothoist.core.platform.BlockTransfer;
-import org.bergamothoist.core.platform.CacheEventPage;
-import org.bergamothoist.core.platform.CacheSnapshot;
+import org.bergamothoist.core.placement.NoEngineClient;
 import org.bergamothoist.core.platform.EngineCall;
-import org.bergamothoist.core.platform.EngineClient;
 import org.bergamothoist.core.platform.EngineListener;
 import org.bergamothoist.core.platform.EngineReport;
 import org.bergamothoist.core.platform.EngineResume;
 import org.bergamothoist.core.platform.EngineStream;
 import org.bergamothoist.core.platform.PlatformException;
 import org.bergamothoist.core.platform.Target;
-import org.bergamothoist.core.platform.TargetOrder;
 
 /** An engine client whose events a test emits by hand. */
-final class ScriptedEngineClient implements EngineClient {
+final class ScriptedEngineClient extends NoEngineClient {
 
     final List<Dispatch> dispatches = new ArrayList<>();
     final List<EngineResume> resumes = new ArrayList<>();
@@ -80,25 +75,4 @@
         return CompletableFuture.completedFuture(
                 new EngineReport(incarnation, List.of(), 0, 0, null, 0, false, false));
     }
-
-    @Override
-    public CompletionStage<CacheEventPage> cacheEvents(Target target, long afterSequence) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<CacheSnapshot> cacheSnapshot(Target target) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Void> order(Target target, TargetOrder order) {
-        throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletionStage<Void> transferBlocks(
-            Target target, OrganisationId organisation, BlockTransfer transfer) {
-        throw new UnsupportedOperationException();
-    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/order/OrderControllerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/order/OrderControllerTest.java
@@ -16,17 +16,9 @@
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.EngineIncarnation;
 import org.bergamothoist.core.identity.ModelKey;
-import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.identity.TargetId;
-import org.bergamothoist.core.platform.BlockTransfer;
-import org.bergamothoist.core.platform.CacheEventPage;
-import org.bergamothoist.core.platform.CacheSnapshot;
-import org.bergamothoist.core.platform.EngineCall;
-import org.bergamothoist.core.platform.EngineClient;
-import org.bergamothoist.core.platform.EngineListener;
+import org.bergamothoist.core.placement.NoEngineClient;
 import org.bergamothoist.core.platform.EngineReport;
-import org.bergamothoist.core.platform.EngineResume;
-import org.bergamothoist.core.platform.EngineStream;
 import org.bergamothoist.core.platform.LoadedModel;
 import org.bergamothoist.core.platform.PlatformException;
 import org.bergamothoist.core.platform.Target;
@@ -126,7 +118,7 @@
     }
 
     /** Engines that load for two seconds. */
-    private final class FakeEngines implements EngineClient {
+    private final class FakeEngines extends NoEngineClient {
 
         private final Map<Target, Map<ModelKey, Instant>> readyAt = new LinkedHashMap<>();
         private final List<TargetOrder> orders = new ArrayList<>();
@@ -219,36 +211,5 @@
             models.keySet().retainAll(order.models());
             added.forEach(key -> models.put(key, time.instant().plus(LOAD_TIME)));
         }
-
-        @Override
-        public EngineStream start(EngineCall call, EngineListener listener) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public EngineStream resume(EngineResume resume, EngineListener listener) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletionStage<EngineReport> report(Target target) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletionStage<CacheEventPage> cacheEvents(Target target, long afterSequence) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletionStage<CacheSnapshot> cacheSnapshot(Target target) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletionStage<Void> transferBlocks(
-                Target target, OrganisationId organisation, BlockTransfer transfer) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/placement/ReplicaControllerTest.java
@@ -0,0 +1,128 @@
+package org.bergamothoist.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.cache.CacheIndex;
+import org.bergamothoist.core.cache.CacheIndexSettings;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.BlockTransfer.Direction;
+import org.bergamothoist.core.platform.PlatformException;
+import org.bergamothoist.core.platform.Target;
+import org.bergamothoist.core.platform.TargetKind;
+import org.bergamothoist.core.prompt.BlockChain;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.bergamothoist.core.timeline.BoundedTimeline;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ReplicaControllerTest {
+
+    private static final OrganisationId ORGANISATION = new OrganisationId("clinic");
+    private static final ModelKey KEY = new ModelKey("model", "base", "v1");
+    private static final BlockChain CHAIN = new BlockChain(new long[] {1, 2, 3}, 14, 4);
+
+    private final VirtualTimeScheduler time =
+            new VirtualTimeScheduler(Instant.EPOCH.plusSeconds(100));
+    private final CacheIndex index =
+            new CacheIndex(CacheIndexSettings.standard(), time, (guarantee, holds, detail) -> {});
+    private final TransferRecorder engines = new TransferRecorder();
+    private final Target holder = target("engine-1");
+    private final Target other = target("engine-2");
+    private CompletionStage<Integer> stored = CompletableFuture.completedFuture(0);
+    private ReplicaController controller;
+
+    private static Target target(String name) {
+        return new Target(
+                new TargetId(name), TargetKind.MODEL_ENGINE, "llm", "127.0.0.1", 1, "biel-a");
+    }
+
+    @BeforeEach
+    void holderHasTheChain() {
+        index.observe(holder.id(), new EngineIncarnation("one"));
+        index.onDispatch(holder.id(), CHAIN);
+        List<Target> targets = List.of(holder, other);
+        controller =
+                new ReplicaController(
+                        new ReplicaController.Parts(
+                                engines,
+                                (organisation, key, chain) -> stored,
+                                index,
+                                id -> targets.stream().filter(t -> t.id().equals(id)).findFirst(),
+                                time,
+                                time,
+                                new BoundedTimeline(new DaemonId("entry-1", 1), time)));
+    }
+
+    private List<String> replicate() {
+        controller.replicate(ORGANISATION, KEY, CHAIN, other);
+        time.runDueTasks();
+        return engines.transfers;
+    }
+
+    /** Guards against an import of blocks that nobody has exported. */
+    @Test
+    void exportsFromTheHolderBeforeImporting() {
+        assertThat(replicate())
+                .containsExactly("engine-1 EXPORT [1, 2, 3]", "engine-2 IMPORT [1, 2, 3]");
+    }
+
+    /** Guards against needless exports of what the store already has. */
+    @Test
+    void importsFromTheStoreAlone() {
+        stored = CompletableFuture.completedFuture(3);
+        assertThat(replicate()).containsExactly("engine-2 IMPORT [1, 2, 3]");
+    }
+
+    /** Guards against orders for transfers while the store is down. */
+    @Test
+    void doesNothingWhenTheStoreIsDown() {
+        stored = CompletableFuture.failedFuture(new PlatformException("store is down"));
+        assertThat(replicate()).isEmpty();
+    }
+
+    /** Guards against a transfer for each request of a hot prefix. */
+    @Test
+    void copiesTheSamePrefixOnceInAWhile() {
+        stored = CompletableFuture.completedFuture(3);
+        replicate();
+        assertThat(replicate()).hasSize(1);
+        time.advance(ReplicaController.REPEAT_AFTER.plus(Duration.ofMillis(1)));
+        assertThat(replicate()).hasSize(2);
+    }
+
+    /** Guards against losing the hot blocks of an engine that is drained. */
+    @Test
+    void savesPrefixesOfLeavingEngine() {
+        controller.onRouted(ORGANISATION, KEY, CHAIN);
+        controller.drain(other);
+        assertThat(engines.transfers).isEmpty();
+        controller.drain(holder);
+        assertThat(engines.transfers)
+                .containsExactly("engine-1 " + Direction.EXPORT + " [1, 2, 3]");
+    }
+
+    /** Records transfers and completes them at once. */
+    private static final class TransferRecorder extends NoEngineClient {
+
+        private final List<String> transfers = new ArrayList<>();
+
+        @Override
+        public CompletionStage<Void> transferBlocks(
+                Target target,
+                OrganisationId organisation,
+                org.bergamothoist.core.platform.BlockTransfer transfer) {
+            transfers.add(target.id() + " " + transfer.direction() + " " + transfer.blockHashes());
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+}
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
@@ -40,6 +40,9 @@
     /** Tokens that an engine is assumed to prefill in a second, until it is measured. */
     private static final int PREFILL_TOKENS_PER_SECOND = 40_000;
 
+    /** Tokens that an engine is assumed to import in a second from the KV cache store. */
+    private static final int IMPORT_TOKENS_PER_SECOND = 400_000;
+
     private static final int MAXIMUM_GENERATED_TOKENS = 32_768;
 
     @Provides
@@ -101,6 +104,7 @@
                 settings.timings().stopDeadline(),
                 MODELS_PER_ENGINE,
                 PREFILL_TOKENS_PER_SECOND,
+                IMPORT_TOKENS_PER_SECOND,
                 true,
                 new DispatchSettings(
                         standard.maximumAttempts(),
