Hedge slow idempotent requests before the first token

Cause: a frozen or slow engine held a request until the first-token timeout of 20 s. Change: after a delay from the 99th percentile of first-token times a second attempt starts elsewhere; the relay delivers the first to send a piece and cancels the other; waste is counted; the retry budget bounds it. Before: no hedging.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -11,9 +11,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.limit.HedgePolicy;
 import org.bergamothoist.core.platform.EngineAnswerStart;
 import org.bergamothoist.core.platform.EngineCall;
 import org.bergamothoist.core.platform.EngineClient;
@@ -60,6 +62,7 @@
             EngineLossDetector lossDetector,
             QuarantineController quarantine,
             RetryPermit retryPermit,
+            HedgePolicy hedgePolicy,
             DispatchObserver observer,
             ResumeTokenCodec tokenCodec,
             Scheduler scheduler,
@@ -78,7 +81,7 @@
     public void apply(CompletionExchange exchange, Runnable proceed) {
         RunningCompletion completion = new RunningCompletion(exchange, parts.clock().instant());
         running.add(completion);
-        exchange.onFinish(outcome -> ended(completion, outcome));
+        exchange.onFinish(outcome -> ended(completion));
         if (exchange.resumePoint().isPresent()) {
             resume(completion, exchange.resumePoint().get());
             return;
@@ -154,22 +157,66 @@
             exchange.finish(new Outcome.Answered());
             return;
         }
+        completion.begin(attempt);
         occupy(completion, choice, attempt, suspect);
+        start(exchange, choice, attempt, remaining);
+        if (!suspect && exchange.repeatable() && exchange.relay().nextPiece() == 0) {
+            parts.hedgePolicy()
+                    .delay(true)
+                    .ifPresent(
+                            delay ->
+                                    parts.scheduler()
+                                            .schedule(
+                                                    delay,
+                                                    () -> considerHedge(completion, attempt)));
+        }
+    }
+
+    private void start(
+            CompletionExchange exchange,
+            EngineChoice choice,
+            EngineAttempt attempt,
+            int remainingTokens) {
         EngineCall call =
                 new EngineCall(
                         choice.target(),
                         exchange.id(),
-                        number,
+                        attempt.number(),
                         exchange.organisationId(),
                         exchange.modelKey(),
                         exchange.submission().prompt(),
                         exchange.chain(),
                         exchange.relay().deliveredText(),
-                        remaining,
+                        remainingTokens,
                         exchange.priority(),
                         cacheSalt(exchange));
         EngineStream stream = parts.engineClient().start(call, attempt);
-        exchange.relay().attach(number, stream);
+        exchange.relay().attach(attempt.number(), stream);
+    }
+
+    /** Starts a second attempt elsewhere if the first one is slow to deliver its first token. */
+    private void considerHedge(RunningCompletion completion, EngineAttempt slow) {
+        CompletionExchange exchange = completion.exchange();
+        boolean waiting =
+                !exchange.finished()
+                        && completion.current() == slow
+                        && completion.hedge() == null
+                        && !slow.firstPieceSeen()
+                        && completion.attempts() < settings.maximumAttempts();
+        if (!waiting) {
+            return;
+        }
+        Set<TargetId> excluded = new HashSet<>(completion.excluded());
+        excluded.add(slow.target().id());
+        Optional<EngineChoice> choice = parts.chooser().choose(exchange, excluded, false);
+        if (choice.isEmpty() || !parts.hedgePolicy().tryHedge(true, false)) {
+            return;
+        }
+        int number = exchange.relay().beginHedge();
+        EngineAttempt attempt = newAttempt(completion, choice.get(), number, false);
+        completion.beginHedge(attempt);
+        occupy(completion, choice.get(), attempt, false);
+        start(exchange, choice.get(), attempt, exchange.submission().maximumTokens());
     }
 
     private static String cacheSalt(CompletionExchange exchange) {
@@ -182,7 +229,6 @@
             EngineAttempt attempt,
             boolean suspect) {
         CompletionExchange exchange = completion.exchange();
-        completion.begin(attempt);
         if (suspect) {
             suspectsByTarget.merge(choice.target().id(), 1, Integer::sum);
             completion.suspectOn(choice.target().id());
@@ -210,6 +256,7 @@
         EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0, false);
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
+        completion.begin(attempt);
         occupy(completion, choice, attempt, false);
         parts.timeline()
                 .record(
@@ -259,10 +306,21 @@
                 resuming);
     }
 
+    private void firstPiece(
+            RunningCompletion completion, EngineAttempt attempt, Duration sinceDispatch) {
+        if (!completion.runs(attempt)) {
+            return;
+        }
+        releaseLoser(completion, attempt);
+        parts.hedgePolicy().onFirstToken(sinceDispatch);
+        parts.observer().onFirstPiece(completion.exchange(), attempt.target(), sinceDispatch);
+    }
+
     private void succeeded(RunningCompletion completion, EngineAttempt attempt) {
-        if (completion.current() != attempt) {
+        if (!completion.runs(attempt)) {
             return;
         }
+        releaseLoser(completion, attempt);
         if (completion.sawLoss()) {
             parts.quarantine().completed(List.of(completion.exchange().fingerprint()));
         }
@@ -271,11 +329,15 @@
 
     private void failed(
             RunningCompletion completion, EngineAttempt attempt, TargetFailure failure) {
-        if (completion.current() != attempt || completion.exchange().finished()) {
+        if (!completion.runs(attempt) || completion.exchange().finished()) {
+            return;
+        }
+        if (completion.hedge() != null) {
+            oneOfTwoFailed(completion, attempt, failure);
             return;
         }
-        completion.exchange().relay().cancelAttempt();
-        release(completion);
+        completion.exchange().relay().cancelAttempts();
+        release(completion, attempt);
         switch (failure.kind()) {
             case NOT_SENT -> notSent(completion, attempt);
             case REFUSED -> refused(completion, attempt, failure);
@@ -286,6 +348,39 @@
         }
     }
 
+    /** Goes on with the other attempt; an engine that broke off is investigated all the same. */
+    private void oneOfTwoFailed(
+            RunningCompletion completion, EngineAttempt attempt, TargetFailure failure) {
+        CompletionExchange exchange = completion.exchange();
+        exchange.relay().dropAttempt(attempt.number());
+        release(completion, attempt);
+        completion.excluded().add(attempt.target().id());
+        if (failure.kind() == TargetFailure.Kind.NOT_SENT) {
+            exchange.attemptNotSent();
+            parts.observer().onConnectionFailed(attempt.target());
+        } else if (failure.kind() == TargetFailure.Kind.BROKEN) {
+            parts.lossDetector()
+                    .investigate(attempt.target(), attempt.incarnation())
+                    .thenAccept(
+                            verdict -> {
+                                if (verdict == EngineLossDetector.Verdict.LOST) {
+                                    noteLoss(completion, attempt);
+                                }
+                            });
+        }
+    }
+
+    private CompletionStage<Void> noteLoss(RunningCompletion completion, EngineAttempt attempt) {
+        parts.observer().onEngineLost(attempt.target(), attempt.incarnation());
+        completion.lost(attempt.target().id(), attempt.incarnation());
+        completion.excluded().add(attempt.target().id());
+        return parts.quarantine()
+                .reportLoss(
+                        attempt.target().id(),
+                        attempt.incarnation(),
+                        suspects(completion.exchange().fingerprint(), attempt));
+    }
+
     private void notSent(RunningCompletion completion, EngineAttempt attempt) {
         completion.exchange().attemptNotSent();
         completion.excluded().add(attempt.target().id());
@@ -326,15 +421,7 @@
         if (exchange.finished()) {
             return;
         }
-        parts.observer().onEngineLost(attempt.target(), attempt.incarnation());
-        completion.lost(attempt.target().id(), attempt.incarnation());
-        completion.excluded().add(attempt.target().id());
-        parts.quarantine()
-                .reportLoss(
-                        attempt.target().id(),
-                        attempt.incarnation(),
-                        suspects(exchange.fingerprint(), attempt))
-                .thenAccept(done -> afterLoss(completion));
+        noteLoss(completion, attempt).thenAccept(done -> afterLoss(completion));
     }
 
     private Set<Fingerprint> suspects(Fingerprint own, EngineAttempt attempt) {
@@ -390,12 +477,11 @@
         continueElsewhere(completion);
     }
 
-    private void release(RunningCompletion completion) {
-        EngineAttempt attempt = completion.current();
-        if (attempt == null) {
+    private void release(RunningCompletion completion, EngineAttempt attempt) {
+        if (!completion.runs(attempt)) {
             return;
         }
-        completion.end();
+        completion.end(attempt);
         completion
                 .takeSuspectTarget()
                 .ifPresent(
@@ -405,32 +491,47 @@
         parts.observer().onEnded(completion.exchange(), attempt.target());
     }
 
-    private void ended(RunningCompletion completion, Outcome outcome) {
-        release(completion);
+    /** Gives back what the slower of two attempts holds; what it computed is waste. */
+    private void releaseLoser(RunningCompletion completion, EngineAttempt winner) {
+        EngineAttempt loser =
+                completion.current() == winner ? completion.hedge() : completion.current();
+        if (loser == null || loser == winner) {
+            return;
+        }
+        release(completion, loser);
+        parts.hedgePolicy().onLoser(completion.exchange().estimatedTokens());
+    }
+
+    private void ended(RunningCompletion completion) {
+        release(completion, completion.hedge());
+        release(completion, completion.current());
         running.remove(completion);
     }
 
     /** Ends attempts without progress; to be called about once a second. */
     public void checkProgress() {
         for (RunningCompletion completion : List.copyOf(running)) {
-            EngineAttempt attempt = completion.current();
-            if (attempt == null || !completion.exchange().relay().hasDemand()) {
-                continue;
-            }
-            Duration limit =
-                    attempt.firstPieceSeen()
-                            ? settings.stallTimeout()
-                            : settings.firstPieceTimeout();
-            if (attempt.sinceProgress().compareTo(limit) > 0) {
-                failed(
-                        completion,
-                        attempt,
-                        new TargetFailure(
-                                TargetFailure.Kind.BROKEN, "the engine made no progress"));
+            if (completion.exchange().relay().hasDemand()) {
+                checkProgress(completion, completion.hedge());
+                checkProgress(completion, completion.current());
             }
         }
     }
 
+    private void checkProgress(RunningCompletion completion, EngineAttempt attempt) {
+        if (attempt == null) {
+            return;
+        }
+        Duration limit =
+                attempt.firstPieceSeen() ? settings.stallTimeout() : settings.firstPieceTimeout();
+        if (attempt.sinceProgress().compareTo(limit) > 0) {
+            failed(
+                    completion,
+                    attempt,
+                    new TargetFailure(TargetFailure.Kind.BROKEN, "the engine made no progress"));
+        }
+    }
+
     /** Posts what happens to an attempt to the control thread. */
     private final class PostingHandler implements EngineAttempt.Handler {
 
@@ -472,14 +573,7 @@
 
         @Override
         public void onFirstPiece(EngineAttempt attempt, Duration sinceDispatch) {
-            parts.scheduler()
-                    .execute(
-                            () ->
-                                    parts.observer()
-                                            .onFirstPiece(
-                                                    completion.exchange(),
-                                                    attempt.target(),
-                                                    sinceDispatch));
+            parts.scheduler().execute(() -> firstPiece(completion, attempt, sinceDispatch));
         }
 
         @Override
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/RunningCompletion.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/RunningCompletion.java
@@ -17,6 +17,7 @@
     private final Set<EngineLoss> lossesSeen = new HashSet<>();
     private int attempts;
     private EngineAttempt current;
+    private EngineAttempt hedge;
     private EngineLoss investigated;
     private TargetId suspectTarget;
 
@@ -48,13 +49,31 @@
         return current;
     }
 
+    /** Returns the second attempt that runs beside the current one, or null. */
+    EngineAttempt hedge() {
+        return hedge;
+    }
+
+    boolean runs(EngineAttempt attempt) {
+        return attempt != null && (attempt == current || attempt == hedge);
+    }
+
     void begin(EngineAttempt attempt) {
         attempts++;
         current = attempt;
     }
 
-    void end() {
-        current = null;
+    void beginHedge(EngineAttempt attempt) {
+        attempts++;
+        hedge = attempt;
+    }
+
+    /** Removes an attempt; the other one, if there is one, becomes the current one. */
+    void end(EngineAttempt attempt) {
+        if (attempt == current) {
+            current = hedge;
+        }
+        hedge = null;
     }
 
     void lost(TargetId target, EngineIncarnation incarnation) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -43,7 +43,7 @@
     private final ReplicaController replicas;
     private final NodeMetrics metrics;
     private final Timeline timeline;
-    private final Map<CompletionExchange, OutstandingPrompt> outstanding = new HashMap<>();
+    private final Map<PromptAtTarget, OutstandingPrompt> outstanding = new HashMap<>();
     private Predicate<TargetId> runsSuspect = target -> false;
     private AdmissionController admission;
 
@@ -68,6 +68,9 @@
     /** Where decisions are reported to. */
     record Reporting(NodeMetrics metrics, Timeline timeline) {}
 
+    /** A completion has one prompt at each engine that it was sent to. */
+    private record PromptAtTarget(CompletionExchange exchange, TargetId target) {}
+
     private static final class OutstandingPrompt {
         private final TargetId target;
         private final int uncachedTokens;
@@ -163,7 +166,9 @@
         }
         int uncached = exchange.chain().uncachedTokens(choice.predictedCachedBlocks());
         int predicted = choice.predictedCachedBlocks() * exchange.chain().blockTokens();
-        outstanding.put(exchange, new OutstandingPrompt(target, uncached, predicted));
+        outstanding.put(
+                new PromptAtTarget(exchange, target),
+                new OutstandingPrompt(target, uncached, predicted));
         load.dispatched(target, uncached);
         index.onDispatch(target, exchange.chain());
     }
@@ -176,7 +181,7 @@
             return;
         }
         index.onAnswer(target.id(), start.incarnation(), exchange.chain(), start.cachedTokens());
-        OutstandingPrompt prompt = outstanding.get(exchange);
+        OutstandingPrompt prompt = outstanding.get(new PromptAtTarget(exchange, target.id()));
         long predicted = prompt == null ? 0 : prompt.predictedTokens;
         metrics.answerStarted(start.promptTokens(), start.cachedTokens(), predicted);
     }
@@ -185,8 +190,8 @@
     public void onFirstPiece(CompletionExchange exchange, Target target, Duration sinceDispatch) {
         metrics.firstToken(sinceDispatch);
         admission.onFirstToken(sinceDispatch);
-        OutstandingPrompt prompt = outstanding.get(exchange);
-        if (prompt != null && prompt.target.equals(target.id()) && !prompt.firstPieceSeen) {
+        OutstandingPrompt prompt = outstanding.get(new PromptAtTarget(exchange, target.id()));
+        if (prompt != null && !prompt.firstPieceSeen) {
             prompt.firstPieceSeen = true;
             load.promptFinished(target.id(), prompt.uncachedTokens);
             admission.pump();
@@ -195,7 +200,7 @@
 
     @Override
     public void onEnded(CompletionExchange exchange, Target target) {
-        OutstandingPrompt prompt = outstanding.remove(exchange);
+        OutstandingPrompt prompt = outstanding.remove(new PromptAtTarget(exchange, target.id()));
         if (prompt == null) {
             return;
         }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.core.node;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -22,6 +23,7 @@
 import org.bergamothoist.core.limit.AdmissionController;
 import org.bergamothoist.core.limit.AdmissionLimits;
 import org.bergamothoist.core.limit.AdmissionSettings;
+import org.bergamothoist.core.limit.HedgePolicy;
 import org.bergamothoist.core.limit.RetryBudget;
 import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
 import org.bergamothoist.core.node.NodeStatus.Configuration;
@@ -40,6 +42,9 @@
 /** The way of requests through filters to targets. Confined to the control thread. */
 final class RequestPath {
 
+    /** Below this delay a second attempt would mostly duplicate work that is about to end. */
+    private static final Duration MINIMUM_HEDGE_DELAY = Duration.ofMillis(500);
+
     private final NodeSettings settings;
     private final NodeAdapters adapters;
     private final RouterNode.Environment environment;
@@ -130,6 +135,8 @@
                         new EngineLossDetector(adapters.engines(), environment.scheduler()),
                         quarantine,
                         retryBudget::tryTake,
+                        new HedgePolicy(
+                                HedgePolicy.STANDARD_QUANTILE, MINIMUM_HEDGE_DELAY, retryBudget),
                         placement,
                         tokenCodec,
                         environment.scheduler(),
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/stream/StreamRelay.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/stream/StreamRelay.java
@@ -1,5 +1,8 @@
 package org.bergamothoist.core.stream;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.identity.RequestId;
@@ -18,12 +21,17 @@
  */
 public final class StreamRelay {
 
+    private static final int NO_ATTEMPT = 0;
+
     private final RequestId requestId;
     private final CompletionListener listener;
     private final InvariantMonitor monitor;
     private final StringBuilder deliveredText = new StringBuilder();
+    private final Map<Integer, EngineStream> streams = new HashMap<>();
+    private final Map<Integer, Runnable> heldStarts = new HashMap<>();
+    private int lastAttempt;
     private int attempt;
-    private EngineStream engineStream;
+    private int hedge;
     private int basePiece;
     private int nextPiece;
     private int deliveredTokens;
@@ -53,8 +61,9 @@
 
     /** Starts a new attempt and returns its number; events of earlier attempts are dropped. */
     public synchronized int beginAttempt(int firstPieceOfEngineStream) {
-        attempt++;
-        engineStream = null;
+        attempt = ++lastAttempt;
+        hedge = NO_ATTEMPT;
+        heldStarts.clear();
         attemptCompleted = false;
         basePiece = firstPieceOfEngineStream;
         return attempt;
@@ -65,14 +74,23 @@
         return beginAttempt(nextPiece);
     }
 
+    /**
+     * Starts a second attempt beside the current one, which has delivered nothing. The first of the
+     * two to deliver a piece or to complete wins; the other one is cancelled.
+     */
+    public synchronized int beginHedge() {
+        hedge = ++lastAttempt;
+        return hedge;
+    }
+
     /** Attaches the engine's stream to the attempt and passes the caller's open demand to it. */
     public void attach(int attemptNumber, EngineStream stream) {
         int open;
         synchronized (this) {
-            if (attemptNumber != attempt || finished) {
+            if (!isActive(attemptNumber)) {
                 open = -1;
             } else {
-                engineStream = stream;
+                streams.put(attemptNumber, stream);
                 open = (int) Math.min(Integer.MAX_VALUE, demand);
             }
         }
@@ -83,12 +101,17 @@
         }
     }
 
-    /** Reports to the caller that an engine has taken the request. */
+    /** Reports to the caller that an engine has taken the request; held while two attempts run. */
     public synchronized void started(int attemptNumber, ModelKey modelKey, Supplier<String> token) {
         if (isLate(attemptNumber)) {
             return;
         }
-        listener.onStart(requestId, modelKey, token.get(), nextPiece);
+        Runnable report = () -> listener.onStart(requestId, modelKey, token.get(), nextPiece);
+        if (hedge == NO_ATTEMPT) {
+            report.run();
+        } else {
+            heldStarts.put(attemptNumber, report);
+        }
     }
 
     /**
@@ -103,6 +126,7 @@
         if (basePiece + index != nextPiece || demand == 0) {
             return false;
         }
+        decide(attemptNumber);
         demand--;
         deliveredText.append(text);
         deliveredTokens += tokens;
@@ -116,38 +140,75 @@
         if (isLate(attemptNumber)) {
             return false;
         }
+        decide(attemptNumber);
         attemptCompleted = true;
         return true;
     }
 
+    /** Ends the race of two attempts in favour of one. */
+    private void decide(int winner) {
+        if (hedge == NO_ATTEMPT) {
+            return;
+        }
+        int loser = winner == attempt ? hedge : attempt;
+        attempt = winner;
+        hedge = NO_ATTEMPT;
+        releaseHeldStart();
+        EngineStream stream = streams.remove(loser);
+        if (stream != null) {
+            stream.cancel();
+        }
+    }
+
+    /** Drops one of two attempts, because it failed; the other one goes on. */
+    public synchronized void dropAttempt(int attemptNumber) {
+        streams.remove(attemptNumber);
+        if (attemptNumber == attempt && hedge != NO_ATTEMPT) {
+            attempt = hedge;
+        }
+        hedge = NO_ATTEMPT;
+        releaseHeldStart();
+    }
+
+    private void releaseHeldStart() {
+        Runnable start = heldStarts.remove(attempt);
+        heldStarts.clear();
+        if (start != null) {
+            start.run();
+        }
+    }
+
     /** Returns whether the attempt is the current one of a stream that has not ended. */
     public synchronized boolean isCurrent(int attemptNumber) {
         return attemptNumber == attempt && !finished;
     }
 
-    /** Passes the caller's demand to the engine. */
+    private boolean isActive(int attemptNumber) {
+        boolean active = attemptNumber == attempt || hedge != NO_ATTEMPT && attemptNumber == hedge;
+        return active && !finished;
+    }
+
+    /** Passes the caller's demand to the engines. */
     public void request(int pieces) {
-        EngineStream stream;
+        List<EngineStream> open;
         synchronized (this) {
             demand += pieces;
-            stream = engineStream;
-        }
-        if (stream != null) {
-            stream.request(pieces);
+            open = List.copyOf(streams.values());
         }
+        open.forEach(stream -> stream.request(pieces));
     }
 
-    /** Cancels the current attempt, whose later events are dropped. */
-    public void cancelAttempt() {
-        EngineStream stream;
+    /** Cancels the running attempts, whose later events are dropped. */
+    public void cancelAttempts() {
+        List<EngineStream> open;
         synchronized (this) {
-            attempt++;
-            stream = engineStream;
-            engineStream = null;
-        }
-        if (stream != null) {
-            stream.cancel();
+            attempt = ++lastAttempt;
+            hedge = NO_ATTEMPT;
+            heldStarts.clear();
+            open = List.copyOf(streams.values());
+            streams.clear();
         }
+        open.forEach(EngineStream::cancel);
     }
 
     /** Ends the stream towards the caller. */
@@ -160,11 +221,11 @@
             finished = true;
             listener.onOutcome(requestId, outcome);
         }
-        cancelAttempt();
+        cancelAttempts();
     }
 
     private boolean isLate(int attemptNumber) {
-        boolean late = attemptNumber != attempt || finished;
+        boolean late = !isActive(attemptNumber);
         if (late) {
             lateEvents++;
         }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -17,6 +17,8 @@
 import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.invariant.InvariantMonitor;
+import org.bergamothoist.core.limit.HedgePolicy;
+import org.bergamothoist.core.limit.RetryBudget;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.platform.EngineAnswerStart;
@@ -64,6 +66,8 @@
             new QuarantineController(
                     new DaemonId("entry-1", 1), fingerprint -> 0, publisher(), time, time);
     final ResumeTokenCodec tokenCodec = new ResumeTokenCodec("key".getBytes());
+    final HedgePolicy hedgePolicy =
+            new HedgePolicy(0.99, Duration.ofMillis(500), RetryBudget.standard());
     final CompletionDispatcher dispatcher;
     int retriesLeft = 100;
 
@@ -84,6 +88,7 @@
                                 detector,
                                 quarantine,
                                 () -> retriesLeft-- > 0,
+                                hedgePolicy,
                                 new SilentObserver(),
                                 tokenCodec,
                                 time,
