Choose heartbeat receivers by slots and test membership

Cause: with independent random choices of receivers at 4 heartbeats a second, one daemon of 420 heard of as few as 4% of the others at its worst moment (trial over 20 s), which the majority rule of configuration freshness cannot bear. Digests could also exceed their budget when applied offsets differed. Change: in each slot of time all daemons send to the same distance, so each daemon receives one heartbeat in each slot; peers that are down are passed over in favour of the one that they would have sent to. Digests fall back to two offsets and count them before they are added.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/DigestComposer.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/DigestComposer.java
@@ -19,6 +19,8 @@
     /** More distinct offsets would need more bits for each member. */
     private static final int MAXIMUM_OFFSETS = 4;
 
+    private static final int MINIMUM_OFFSETS = 2;
+
     /** With fewer members than this, each offset is sent as it is. */
     private static final int MEMBERS_WITH_EXACT_OFFSETS = 32;
 
@@ -63,27 +65,41 @@
         }
         Duration confirmedAge = PeerState.age(confirmedAt, now);
         if (bytes > budget || members.isEmpty()) {
-            RosterDigest bare = new RosterDigest(roster.key(), confirmedAge, List.of());
-            return new Sized(bare, HeartbeatSize.DIGEST);
+            return bare(roster, confirmedAge);
+        }
+        long[] offsets = levels(members, MAXIMUM_OFFSETS);
+        if (bytes + offsetBytes(offsets, members.size()) > budget) {
+            offsets = levels(members, MINIMUM_OFFSETS);
         }
-        long[] offsets = levels(members);
         bytes += offsetBytes(offsets, members.size());
+        if (bytes > budget) {
+            return bare(roster, confirmedAge);
+        }
         RosterDigest digest =
                 new RosterDigest(roster.key(), confirmedAge, roundedDown(members, offsets));
         return new Sized(digest, bytes);
     }
 
-    /** Returns the offsets to send: all distinct ones, or the extremes and two between them. */
-    private static long[] levels(List<RosterDigest.Member> members) {
+    private static Sized bare(RosterIndex roster, Duration confirmedAge) {
+        RosterDigest bare = new RosterDigest(roster.key(), confirmedAge, List.of());
+        return new Sized(bare, HeartbeatSize.DIGEST);
+    }
+
+    /**
+     * Returns the offsets to send: all distinct ones, or the extremes and some between them. The
+     * highest one is always sent as it is, so that a daemon that is ahead is known as such.
+     */
+    private static long[] levels(List<RosterDigest.Member> members, int maximum) {
         long[] sorted =
                 members.stream().mapToLong(RosterDigest.Member::appliedOffset).sorted().toArray();
         long[] distinct = Arrays.stream(sorted).distinct().toArray();
-        if (distinct.length <= MAXIMUM_OFFSETS || members.size() < MEMBERS_WITH_EXACT_OFFSETS) {
+        boolean exact = distinct.length <= maximum || members.size() < MEMBERS_WITH_EXACT_OFFSETS;
+        if (exact && (maximum > MINIMUM_OFFSETS || distinct.length <= maximum)) {
             return distinct;
         }
-        long[] levels = new long[MAXIMUM_OFFSETS];
-        for (int level = 0; level < MAXIMUM_OFFSETS; level++) {
-            levels[level] = sorted[(sorted.length - 1) * level / (MAXIMUM_OFFSETS - 1)];
+        long[] levels = new long[maximum];
+        for (int level = 0; level < maximum; level++) {
+            levels[level] = sorted[(sorted.length - 1) * level / (maximum - 1)];
         }
         return Arrays.stream(levels).distinct().toArray();
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.OrganisationId;
@@ -40,6 +41,15 @@
     private static final Duration OUTSTANDING_LIFETIME = Duration.ofSeconds(5);
     private static final Duration MINIMUM_DEMAND_LIFETIME = Duration.ofSeconds(5);
 
+    /**
+     * Silence after which a large fleet's daemon is put on the timeline as down. News take up to a
+     * few seconds there, and events for each late one would displace all others.
+     */
+    private static final Duration SAMPLED_DOWN_AFTER = Duration.ofSeconds(10);
+
+    /** In one of so many slots, a peer is sent to even if it is down. */
+    private static final int SLOTS_FOR_EACH_TRY = 8;
+
     /** A peer is sent to once in a round, at most twice as late in the worst order. */
     private static final int ROUNDS_OF_DEMAND = 2;
 
@@ -54,7 +64,6 @@
     private final Consumer<List<TargetId>> leavingTargetsListener;
     private final HeartbeatComposer composer;
     private final PeerSchedule schedule;
-    private final RandomGenerator random;
     private final RosterIndex roster = new RosterIndex();
     private final Map<String, PeerState> peers = new HashMap<>();
     private final Set<DaemonId> reportedLive = new HashSet<>();
@@ -84,20 +93,18 @@
         this.network = Objects.requireNonNull(network);
         this.scheduler = Objects.requireNonNull(scheduler);
         this.clock = Objects.requireNonNull(clock);
-        this.random = Objects.requireNonNull(random);
         this.timeline = Objects.requireNonNull(timeline);
         this.source = Objects.requireNonNull(source);
         this.settings = Objects.requireNonNull(settings);
         this.leavingTargetsListener = Objects.requireNonNull(leavingTargetsListener);
         this.composer = new HeartbeatComposer(source);
-        this.schedule = new PeerSchedule(random);
+        this.schedule = new PeerSchedule(selfAddress, random.nextDouble());
     }
 
-    /** Starts to send heartbeats, after a random part of the period. */
+    /** Starts to send heartbeats. */
     public void start() {
         running = true;
-        long first = random.nextLong(settings.period().toNanos());
-        nextTick = scheduler.schedule(Duration.ofNanos(first), this::tick);
+        scheduleTick(slotLength(peerAddresses()));
     }
 
     /** Stops to send heartbeats. */
@@ -109,9 +116,10 @@
     /** Sends a heartbeat to as many peers as one period allows; for changes of the own status. */
     public void announce() {
         Set<String> addresses = peerAddresses();
+        long slot = schedule.slot(clock.instant(), slotLength(addresses));
         int count = Math.min(addresses.size(), settings.allPeersUpTo());
         for (int sent = 0; sent < count; sent++) {
-            send(schedule.next(addresses), addresses.size());
+            send(schedule.peer(addresses, slot + sent, address -> true), addresses.size());
         }
     }
 
@@ -170,22 +178,52 @@
         confirmedAt = PeerState.later(confirmedAt, at);
     }
 
+    private void scheduleTick(Duration slotLength) {
+        Duration delay = schedule.untilNextSlot(clock.instant(), slotLength);
+        nextTick = scheduler.schedule(delay, this::tick);
+    }
+
     private void tick() {
         if (!running) {
             return;
         }
         roster.update(source.roster());
         Set<String> addresses = peerAddresses();
-        int heartbeats = settings.heartbeatsEachPeriod(addresses.size());
-        nextTick = scheduler.schedule(settings.period().dividedBy(heartbeats), this::tick);
+        Duration slotLength = slotLength(addresses);
+        scheduleTick(slotLength);
         forgetStrangers();
         reportChanges();
-        String address = schedule.next(addresses);
+        long slot = schedule.slot(clock.instant(), slotLength);
+        String address = schedule.peer(addresses, slot, peersToUse(addresses.size(), slot));
         if (address != null) {
             send(address, addresses.size());
         }
     }
 
+    /**
+     * Returns which peers to send to. All of them, except in a large fleet, where those that are
+     * down are only tried in some slots, so that the two sides of a partition find each other.
+     */
+    private Predicate<String> peersToUse(int peerCount, long slot) {
+        boolean all = peerCount <= settings.allPeersUpTo() || slot % SLOTS_FOR_EACH_TRY == 0;
+        if (all) {
+            return address -> true;
+        }
+        Instant now = clock.instant();
+        Set<String> down = new HashSet<>();
+        for (RosterMember member : roster.current()) {
+            PeerState state = state(member.daemon());
+            if (state == null || !isLive(state, now)) {
+                down.add(member.peerAddress());
+            }
+        }
+        return address -> !down.contains(address);
+    }
+
+    private Duration slotLength(Set<String> addresses) {
+        return settings.period().dividedBy(settings.heartbeatsEachPeriod(addresses.size()));
+    }
+
     private void send(String address, int peerCount) {
         network.sendComposed(address, () -> composeHeartbeat(peerCount));
     }
@@ -346,12 +384,14 @@
 
     private void reportChanges() {
         Instant now = clock.instant();
+        boolean sampled = roster.order().size() - 1 > settings.allPeersUpTo();
+        Duration limit = sampled ? SAMPLED_DOWN_AFTER : settings.liveWithin();
         for (DaemonId daemon : roster.order()) {
             PeerState state = state(daemon);
-            boolean live = state != null && isLive(state, now);
-            if (live && reportedLive.add(daemon)) {
+            boolean heard = state != null && !state.heardAt().isBefore(now.minus(limit));
+            if (heard && reportedLive.add(daemon)) {
                 timeline.record(EventKind.PEER_UP, daemon.toString(), "");
-            } else if (!live && reportedLive.remove(daemon)) {
+            } else if (!heard && reportedLive.remove(daemon)) {
                 timeline.record(EventKind.PEER_DOWN, daemon.toString(), "not heard in time");
             }
         }
