Share one virtual scheduler among tests; let non-idempotent requests outlive their connection

Cause: two copies of the scheduler stood in tests; a closed connection ended a booking that was already sent as unknown, although the sheet's mark is known only to the core. Change: one scheduler; closing cancels only what is idempotent or was not sent. Conclusion: a repeat of such a booking now learns that it was answered.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestIntake.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestIntake.java
@@ -152,6 +152,13 @@
         chain.handle(exchange);
     }
 
+    /** A non-idempotent request that was sent runs to its end, so that its outcome is recorded. */
+    private static void connectionClosed(RequestExchange exchange) {
+        if (exchange.idempotent() || !exchange.mayHaveRun()) {
+            exchange.fail(ErrorCode.CANCELLED, "the caller closed its connection");
+        }
+    }
+
     /** Returns the requests that were accepted and have not ended. */
     List<RequestExchange> running() {
         return List.copyOf(running);
@@ -166,12 +173,7 @@
 
             @Override
             public void cancel() {
-                parts.scheduler()
-                        .execute(
-                                () ->
-                                        exchange.fail(
-                                                ErrorCode.CANCELLED,
-                                                "the caller cancelled the request"));
+                parts.scheduler().execute(() -> connectionClosed(exchange));
             }
         };
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/time/VirtualTimeScheduler.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/time/VirtualTimeScheduler.java
@@ -11,10 +11,17 @@
  */
 public final class VirtualTimeScheduler implements Scheduler, InstantSource {
 
+    private static final Instant STANDARD_START = Instant.parse("2026-03-02T06:00:00Z");
+
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private Instant now;
     private long nextSequence;
 
+    /** Creates a scheduler whose clock shows a fixed time of no meaning. */
+    public VirtualTimeScheduler() {
+        this(STANDARD_START);
+    }
+
     /** Creates a scheduler whose clock shows the given time. */
     public VirtualTimeScheduler(Instant start) {
         this.now = start;
@@ -34,7 +41,7 @@
     public Cancellable schedule(Duration delay, Runnable task) {
         Task entry = new Task(now.plus(delay), nextSequence++, task);
         tasks.add(entry);
-        return () -> tasks.remove(entry);
+        return () -> entry.cancelled = true;
     }
 
     /** Runs all tasks that fall due within the duration and moves the clock to its end. */
@@ -46,23 +53,36 @@
         now = end;
     }
 
+    /** Runs all tasks that fall due within milliseconds and moves the clock on. */
+    public void advanceMillis(long milliseconds) {
+        advance(Duration.ofMillis(milliseconds));
+    }
+
     /** Runs all tasks that are due now, and those that they add for now. */
     public void runDueTasks() {
         advance(Duration.ZERO);
     }
 
-    /** Returns the number of tasks that wait. */
-    public int pendingTasks() {
-        return tasks.size();
-    }
-
     private void runNext() {
         Task task = tasks.poll();
         now = task.due.isAfter(now) ? task.due : now;
-        task.action.run();
+        if (!task.cancelled) {
+            task.action.run();
+        }
     }
 
-    private record Task(Instant due, long sequence, Runnable action) implements Comparable<Task> {
+    private static final class Task implements Comparable<Task> {
+
+        private final Instant due;
+        private final long sequence;
+        private final Runnable action;
+        private boolean cancelled;
+
+        Task(Instant due, long sequence, Runnable action) {
+            this.due = due;
+            this.sequence = sequence;
+            this.action = action;
+        }
 
         @Override
         public int compareTo(Task other) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/claim/ClaimControllerPropertiesTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/claim/ClaimControllerPropertiesTest.java
@@ -19,7 +19,7 @@
 import org.bergamothoist.core.log.LogTailSettings;
 import org.bergamothoist.core.log.Records;
 import org.bergamothoist.core.log.SharedState;
-import org.bergamothoist.core.log.VirtualTime;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 
 /** Repeated requests at several daemons, with every fault of the log. */
 class ClaimControllerPropertiesTest {
@@ -27,7 +27,7 @@
     private static final int DAEMONS = 3;
     private static final int STEPS = 300;
 
-    private VirtualTime time;
+    private VirtualTimeScheduler time;
     private FakeLog log;
     private Random random;
     private List<Daemon> daemons;
@@ -67,7 +67,7 @@
 
     @BeforeTry
     void createDeployment() {
-        time = new VirtualTime();
+        time = new VirtualTimeScheduler();
         log = new FakeLog(time);
         daemons = new ArrayList<>();
         keys = new ArrayList<>();
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/claim/ClaimControllerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/claim/ClaimControllerTest.java
@@ -22,7 +22,7 @@
 import org.bergamothoist.core.log.LogTailSettings;
 import org.bergamothoist.core.log.Records;
 import org.bergamothoist.core.log.SharedState;
-import org.bergamothoist.core.log.VirtualTime;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -32,7 +32,7 @@
 
     private static final Duration DEADLINE = Duration.ofSeconds(1);
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final FakeLog log = new FakeLog(time);
     private final Daemon first = new Daemon(FIRST);
     private final Daemon second = new Daemon(SECOND);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/CheckpointWriterTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/CheckpointWriterTest.java
@@ -13,13 +13,14 @@
 import org.bergamothoist.core.log.FoldResult.CheckpointSeen;
 import org.bergamothoist.core.log.LogRecord.Checkpoint;
 import org.bergamothoist.core.platform.LogEntry;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
 class CheckpointWriterTest {
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final FakeLog log = new FakeLog(time);
     private final List<FakeLog.Client> clients = new ArrayList<>();
     private final List<FoldResult.Comparison> comparisons = new ArrayList<>();
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/FakeLog.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/FakeLog.java
@@ -9,15 +9,16 @@
 import org.bergamothoist.core.platform.LogPage;
 import org.bergamothoist.core.platform.LogService;
 import org.bergamothoist.core.platform.PlatformException;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 
 /** A log in memory whose clients can each be cut off. */
 public final class FakeLog {
 
-    private final VirtualTime time;
+    private final VirtualTimeScheduler time;
     private final List<LogEntry> entries = new ArrayList<>();
     private long firstRetained = 1;
 
-    public FakeLog(VirtualTime time) {
+    public FakeLog(VirtualTimeScheduler time) {
         this.time = time;
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogAppenderTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogAppenderTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -16,7 +17,7 @@
 
     private static final Duration DEADLINE = Duration.ofSeconds(5);
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final FakeLog log = new FakeLog(time);
     private final FakeLog.Client client = log.client();
     private final SharedState state = new SharedState();
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.bergamothoist.core.peer.PeerMessage.LogTailRelay;
 import org.bergamothoist.core.platform.LogEntry;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,7 +23,7 @@
 
     private static final Duration SECOND = Duration.ofSeconds(1);
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final FakeLog log = new FakeLog(time);
     private final FakeLog.Client client = log.client();
     private final SharedState state = new SharedState();
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStatePropertiesTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStatePropertiesTest.java
@@ -22,6 +22,7 @@
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.log.LogRecord.ClaimKey;
 import org.bergamothoist.core.log.LogRecord.ClaimOutcome;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 
 /** Random logs with checkpoints, expiry, restarts and peers' snapshots. */
 class SharedStatePropertiesTest {
@@ -34,13 +35,13 @@
             new LogTailSettings(
                     Duration.ofSeconds(2), Duration.ofSeconds(8), Duration.ofSeconds(2), 16, 64);
 
-    private VirtualTime time;
+    private VirtualTimeScheduler time;
     private Instant start;
     private FakeLog log;
 
     @BeforeTry
     void createLog() {
-        time = new VirtualTime();
+        time = new VirtualTimeScheduler();
         start = time.instant();
         log = new FakeLog(time);
     }
@@ -50,7 +51,7 @@
         private final SharedState state = new SharedState();
         private final LogTail tail;
 
-        Daemon(FakeLog log, VirtualTime time, Random random) {
+        Daemon(FakeLog log, VirtualTimeScheduler time, Random random) {
             client = log.client();
             tail = new LogTail(client, state, time, time, random, SMALL_PAGES);
             tail.start(Duration.ZERO);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/TargetDirectoryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/TargetDirectoryTest.java
@@ -22,6 +22,7 @@
 import org.bergamothoist.core.platform.TargetFailure;
 import org.bergamothoist.core.platform.TargetKind;
 import org.bergamothoist.core.platform.VirtualMachine;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.bergamothoist.core.timeline.BoundedTimeline;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +35,7 @@
     private static final TargetId SECOND = new TargetId("lamp-2");
     private static final Duration POLL = Duration.ofSeconds(2);
 
-    private final ManualScheduler scheduler = new ManualScheduler();
+    private final VirtualTimeScheduler scheduler = new VirtualTimeScheduler();
     private final BoundedTimeline timeline =
             new BoundedTimeline(new DaemonId("entry-1", 1), scheduler);
     private final List<TargetState> changes = new ArrayList<>();
@@ -63,7 +64,7 @@
                     }
                 });
         directory.start();
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
     }
 
     private enum Source {
@@ -77,12 +78,12 @@
     @EnumSource(Source.class)
     void leavingMarkOfAnySourceEndsNewWorkAndSticks(Source source) {
         markLeaving(source);
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         assertThat(accepting()).containsExactly(SECOND);
         directory.observeReport(FIRST, report(false));
         directory.observeAnswer(FIRST);
         machines = List.of(live(FIRST, 1), live(SECOND, 2));
-        scheduler.run(Duration.ofMinutes(2));
+        scheduler.advance(Duration.ofMinutes(2));
         assertThat(accepting()).containsExactly(SECOND);
         assertThat(changes).containsExactly(TargetState.LIVE, TargetState.LEAVING);
     }
@@ -93,7 +94,7 @@
     void markOfAPeerCountsWhileTheListLagsOrIsDown(boolean down) {
         listDown = down;
         directory.observePeerLeaving(List.of(FIRST));
-        scheduler.run(Duration.ofSeconds(60));
+        scheduler.advance(Duration.ofSeconds(60));
         assertThat(accepting()).containsExactly(SECOND);
     }
 
@@ -105,7 +106,7 @@
         TargetId third = new TargetId("lamp-3");
         directory.observePeerLeaving(List.of(third));
         machines = List.of(live(FIRST, 1), live(third, 3));
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         assertThat(accepting()).containsExactly(FIRST);
     }
 
@@ -114,14 +115,14 @@
     @ValueSource(booleans = {true, false})
     void targetReturnsWithANewAddressOrAfterItWasAbsent(boolean newAddress) {
         markLeaving(Source.LIST);
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         if (!newAddress) {
             machines = List.of(live(SECOND, 2));
-            scheduler.run(POLL);
+            scheduler.advance(POLL);
             assertThat(directory.find(FIRST).orElseThrow().getValue()).isEqualTo(TargetState.GONE);
         }
         machines = List.of(live(FIRST, newAddress ? 9 : 1), live(SECOND, 2));
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         directory.observePeerLeaving(List.of(FIRST));
         assertThat(accepting()).containsExactlyInAnyOrder(FIRST, SECOND);
     }
@@ -130,9 +131,9 @@
     @Test
     void dispatchToATargetKnownToLeaveForLongerThanTheBoundIsAViolation() {
         directory.observePeerLeaving(List.of(FIRST));
-        scheduler.run(TargetDirectory.LEAVING_BOUND);
+        scheduler.advance(TargetDirectory.LEAVING_BOUND);
         directory.beforeDispatch(FIRST);
-        scheduler.run(Duration.ofMillis(1));
+        scheduler.advance(Duration.ofMillis(1));
         assertThatThrownBy(() -> directory.beforeDispatch(FIRST))
                 .isInstanceOf(BergamothoistException.class);
         directory.beforeDispatch(SECOND);
@@ -145,12 +146,12 @@
         listDown = down;
         machines = List.of();
         int before = reads;
-        scheduler.run(Duration.ofSeconds(160));
+        scheduler.advance(Duration.ofSeconds(160));
         assertThat(accepting()).containsExactly(FIRST, SECOND);
         assertThat(reads - before).as("reads at backoff").isBetween(8, 20);
         listDown = false;
         machines = List.of(live(SECOND, 2));
-        scheduler.run(Duration.ofSeconds(16));
+        scheduler.advance(Duration.ofSeconds(16));
         assertThat(accepting()).containsExactly(SECOND);
     }
 
@@ -159,9 +160,9 @@
     void absentTargetStaysWhileItAnswers() {
         machines = List.of(live(SECOND, 2));
         directory.observeReport(FIRST, report(false));
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         assertThat(accepting()).containsExactly(FIRST, SECOND);
-        scheduler.run(Duration.ofSeconds(10));
+        scheduler.advance(Duration.ofSeconds(10));
         assertThat(accepting()).containsExactly(SECOND);
     }
 
@@ -175,7 +176,7 @@
             directory.observeFailure(FIRST, TargetFailure.Kind.NOT_SENT);
             long waited = 0;
             while (!accepting().contains(FIRST)) {
-                scheduler.run(Duration.ofMillis(50));
+                scheduler.advance(Duration.ofMillis(50));
                 waited += 50;
             }
             delays.add(waited);
@@ -191,9 +192,9 @@
     void hearsayIsPassedOnOnlyWhileNew() {
         directory.observePeerLeaving(List.of(FIRST));
         machines = List.of(live(FIRST, 1), leaving(SECOND, 2));
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         assertThat(directory.leavingTargets()).containsExactlyInAnyOrder(FIRST, SECOND);
-        scheduler.run(Duration.ofSeconds(20));
+        scheduler.advance(Duration.ofSeconds(20));
         directory.observePeerLeaving(List.of(FIRST));
         assertThat(directory.leavingTargets()).containsExactly(SECOND);
     }
@@ -206,7 +207,7 @@
                         live(FIRST, 1),
                         machine("entry-1", VirtualMachine.Role.ENTRY, 7),
                         machine("desk-1", VirtualMachine.Role.PLAIN_SERVICE, 8));
-        scheduler.run(POLL);
+        scheduler.advance(POLL);
         assertThat(directory.accepting(TargetKind.PLAIN_SERVICE, "lamp-models"))
                 .extracting(Target::id)
                 .containsExactly(new TargetId("desk-1"));
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachPropertiesTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachPropertiesTest.java
@@ -23,18 +23,18 @@
 import org.bergamothoist.core.log.Records;
 import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.log.VirtualTime;
 import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.platform.LogEntry;
 import org.bergamothoist.core.sheet.SheetReach.DaemonView;
 import org.bergamothoist.core.sheet.SheetStatus.Reach;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 
 /** Random rosters, lagging daemons and partitions. */
 class SheetReachPropertiesTest {
 
     private static final Duration LONG_AGO = Duration.ofHours(1);
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
 
     /**
      * Lets daemons fold a log of joins and leaves with one sheet in it, cuts groups of them off at
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachTest.java
@@ -9,9 +9,9 @@
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.log.ConfigurationFreshness;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.log.VirtualTime;
 import org.bergamothoist.core.sheet.SheetReach.DaemonView;
 import org.bergamothoist.core.sheet.SheetStatus.Reach;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +20,7 @@
     private static final long SHEET = 10;
     private static final Duration LONG_AGO = Duration.ofHours(1);
 
-    private final VirtualTime time = new VirtualTime();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final SheetReach reach = new SheetReach(time);
 
     private SheetVerdict verdict(boolean accepted) {
