Send every changing call over a fresh connection

One of three runs of the adapter tests failed: the server's close arrived between the validation of a pooled connection and the first byte of an append, so the append failed although the log was well. Validation narrows this window, but cannot close it. Appends, orders, transfers and cancels now use a connection of their own, as dispatches do; only reads share pooled connections.

The test of stale connections now requires 50 appends in a row to succeed, each arriving once over its own connection; a second one requires that reads over stale connections, which may fail, are never repeated.

Two tests of slow callers took a moment without demand for its end: one could pass without filling the connection, the other failed once in five runs on a loaded machine. They now wait until the demand stays away.

A failed start names the missing part.

--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
@@ -234,6 +234,6 @@
                         .replace("\"environment\"", "\"value\"")
                         .replace("BERGAMOTHOIST_DEPLOYMENT_KEY", "k".repeat(32));
         assertThat(run("serve", file(settings))).isEqualTo(ExitCodes.UNAVAILABLE);
-        assertThat(err.toString()).contains("parts of the daemon are missing");
+        assertThat(err.toString()).contains("parts of the daemon are missing", "RouterFactory");
     }
 }
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -74,7 +74,9 @@
         try {
             daemon = new DaemonInstance(settings, parts);
         } catch (RuntimeException exception) {
-            throw new DaemonException("parts of the daemon are missing or wrong", exception);
+            throw new DaemonException(
+                    "parts of the daemon are missing or wrong: " + exception.getMessage(),
+                    exception);
         }
         try {
             daemon.open();
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/OutboundHttp.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/OutboundHttp.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -66,13 +67,14 @@
 
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 5;
     private static final int KEEP_ALIVE_PROBES = 3;
+    private static final Set<String> READS = Set.of("GET", "HEAD");
     private static final String SENDING_HOOK = "org.bergamothoist.sending-hook";
     private static final String USER_AGENT = "User-Agent";
     private static final String PRODUCT = "bergamothoist";
     private static final int LONGEST_MESSAGE = 200;
 
-    private final CloseableHttpAsyncClient dispatches;
-    private final CloseableHttpAsyncClient controls;
+    private final CloseableHttpAsyncClient fresh;
+    private final CloseableHttpAsyncClient reads;
     private final Duration controlTimeout;
     private volatile boolean closed;
 
@@ -85,7 +87,7 @@
     public OutboundHttp(Duration connectTimeout, Duration controlTimeout) {
         this.controlTimeout = controlTimeout;
         Timeout connect = Timeout.of(connectTimeout);
-        dispatches =
+        fresh =
                 builder(DISPATCH_THREADS, connect, Timeout.DISABLED)
                         .setConnectionManager(
                                 connections(connect, MAXIMUM_DISPATCHES, MAXIMUM_DISPATCHES))
@@ -93,7 +95,7 @@
                         .addRequestInterceptorLast(
                                 (request, entity, context) -> beforeSending(request, context))
                         .build();
-        controls =
+        reads =
                 builder(1, connect, Timeout.of(controlTimeout))
                         .setConnectionManager(
                                 connections(
@@ -101,8 +103,8 @@
                                         MAXIMUM_CONTROL_CONNECTIONS,
                                         MAXIMUM_CONTROL_CONNECTIONS_PER_ROUTE))
                         .build();
-        dispatches.start();
-        controls.start();
+        fresh.start();
+        reads.start();
     }
 
     private HttpAsyncClientBuilder builder(int threads, Timeout connect, Timeout response) {
@@ -170,7 +172,7 @@
         request.setHeader("Connection", "close");
         HttpClientContext context = HttpClientContext.create();
         context.setAttribute(SENDING_HOOK, (Runnable) dispatch::sending);
-        return dispatches.execute(
+        return fresh.execute(
                 new BasicRequestProducer(request, entity), dispatch, null, context, dispatch);
     }
 
@@ -178,13 +180,17 @@
     CompletionStage<Answer> control(HttpRequest request, byte[] body, ContentType type) {
         CompletableFuture<Answer> result = new CompletableFuture<>();
         AsyncEntityProducer entity = body == null ? null : new BasicAsyncEntityProducer(body, type);
+        if (!READS.contains(request.getMethod())) {
+            request.setHeader("Connection", "close");
+        }
         Future<Answer> call =
-                controls.execute(
-                        new BasicRequestProducer(request, entity),
-                        new AnswerConsumer(MAXIMUM_ANSWER_BYTES),
-                        null,
-                        null,
-                        completing(result));
+                clientFor(request)
+                        .execute(
+                                new BasicRequestProducer(request, entity),
+                                new AnswerConsumer(MAXIMUM_ANSWER_BYTES),
+                                null,
+                                null,
+                                completing(result));
         String name = request.getMethod() + " " + request.getPath();
         return result.orTimeout(controlTimeout.toMillis(), TimeUnit.MILLISECONDS)
                 .handle(
@@ -197,6 +203,10 @@
                         });
     }
 
+    private CloseableHttpAsyncClient clientFor(HttpRequest request) {
+        return READS.contains(request.getMethod()) ? reads : fresh;
+    }
+
     private static FutureCallback<Answer> completing(CompletableFuture<Answer> result) {
         return new FutureCallback<>() {
             @Override
@@ -238,8 +248,8 @@
     @Override
     public void close() {
         closed = true;
-        dispatches.close(CloseMode.IMMEDIATE);
-        controls.close(CloseMode.IMMEDIATE);
+        fresh.close(CloseMode.IMMEDIATE);
+        reads.close(CloseMode.IMMEDIATE);
     }
 
     /** The bounded answer of a control call. */
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
@@ -24,13 +24,18 @@
     private static final ModelKey KEY = new ModelKey("diagnosis", "base", "v3");
     private static final String BODY =
             "{\"model\":\"diagnosis\",\"prompt\":\"worn pivot\",\"maximum_tokens\":5}";
+    private static final String SHORT_IDLE = "{\"caller_idle\": \"1s\"}";
+
+    /** Time without demand after which it counts as stopped. */
+    private static final Duration QUIET = Duration.ofMillis(500);
+
     private static final int STREAMS_ABOVE_THREADS = 150;
 
     private static TestDaemon daemon;
 
     @BeforeAll
     static void start() {
-        daemon = new TestDaemon("{\"caller_idle\": \"1s\"}");
+        daemon = new TestDaemon();
     }
 
     @AfterAll
@@ -195,12 +200,12 @@
             String text = "x".repeat(8000);
             int limit = 20_000;
             int delivered = 0;
-            while (delivered < limit && running.take()) {
+            while (delivered < limit && running.takeWithin(QUIET)) {
                 running.listener.onPiece(delivered, text, 1);
                 delivered++;
             }
-            // The rest of the loop is limited by socket buffers, so the demand must have stopped.
-            assertThat(delivered).isLessThan(limit);
+            // The socket buffers take some megabytes, then the demand must stop.
+            assertThat(delivered).isGreaterThan(3).isLessThan(limit);
 
             assertThat(client.head()).startsWith("HTTP/1.1 200");
             Thread reader = new Thread(() -> skipBody(client));
@@ -224,11 +229,12 @@
     /** Guards against streams held for ever by a caller that has stopped reading. */
     @Test
     void cancelsStreamOfStuckCaller() throws Exception {
-        try (RawClient client = daemon.connect().complete(BODY)) {
-            FakeRouter.Running running = daemon.router.next();
+        try (TestDaemon impatient = new TestDaemon(SHORT_IDLE);
+                RawClient client = impatient.connect().complete(BODY)) {
+            FakeRouter.Running running = impatient.router.next();
             running.listener.onStart(ID, KEY, "token", 0);
             String text = "x".repeat(8000);
-            for (int index = 0; running.take(); index++) {
+            for (int index = 0; !running.isCancelled() && running.takeWithin(QUIET); index++) {
                 running.listener.onPiece(index, text, 1);
             }
             await().atMost(Duration.ofSeconds(20)).until(running::isCancelled);
@@ -287,23 +293,25 @@
      */
     @Test
     void manyWaitingStreamsNeedNoThreads() throws Exception {
-        List<RawClient> clients = new ArrayList<>();
-        List<FakeRouter.Running> running = new ArrayList<>();
-        for (int index = 0; index < STREAMS_ABOVE_THREADS; index++) {
-            clients.add(daemon.connect().complete(BODY));
-            running.add(daemon.router.next());
-        }
-        // Longer than the connection's idle limit of this daemon.
-        Thread.sleep(2500);
-        for (FakeRouter.Running stream : running) {
-            assertThat(stream.isCancelled()).isFalse();
-            stream.listener.onStart(ID, KEY, "token", 0);
-            stream.listener.onOutcome(ID, new Outcome.Answered());
-        }
-        for (RawClient client : clients) {
-            assertThat(client.head()).startsWith("HTTP/1.1 200");
-            assertThat(client.chunks()).contains("answered");
-            client.close();
+        try (TestDaemon impatient = new TestDaemon(SHORT_IDLE)) {
+            List<RawClient> clients = new ArrayList<>();
+            List<FakeRouter.Running> running = new ArrayList<>();
+            for (int index = 0; index < STREAMS_ABOVE_THREADS; index++) {
+                clients.add(impatient.connect().complete(BODY));
+                running.add(impatient.router.next());
+            }
+            // Longer than the connection's idle limit of this daemon.
+            Thread.sleep(2500);
+            for (FakeRouter.Running stream : running) {
+                assertThat(stream.isCancelled()).isFalse();
+                stream.listener.onStart(ID, KEY, "token", 0);
+                stream.listener.onOutcome(ID, new Outcome.Answered());
+            }
+            for (RawClient client : clients) {
+                assertThat(client.head()).startsWith("HTTP/1.1 200");
+                assertThat(client.chunks()).contains("answered");
+                client.close();
+            }
         }
     }
 
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/FakeRouter.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/FakeRouter.java
@@ -83,21 +83,21 @@
         }
 
         /** Waits for demand and takes one unit. */
-        synchronized void await() throws InterruptedException {
-            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-            while (demand == 0) {
-                if (System.nanoTime() > end) {
-                    throw new AssertionError("nothing was requested");
-                }
-                wait(1000);
+        void await() throws InterruptedException {
+            if (!takeWithin(Duration.ofSeconds(20))) {
+                throw new AssertionError("nothing was requested");
             }
-            demand--;
         }
 
-        /** Takes one unit of demand, if there is one. */
-        synchronized boolean take() {
-            if (demand == 0) {
-                return false;
+        /** Takes one unit of demand; returns false if none comes within the time. */
+        synchronized boolean takeWithin(Duration time) throws InterruptedException {
+            long end = System.nanoTime() + time.toNanos();
+            while (demand == 0) {
+                long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+                if (left <= 0) {
+                    return false;
+                }
+                wait(left);
             }
             demand--;
             return true;
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/PlatformAdaptersTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/PlatformAdaptersTest.java
@@ -104,24 +104,45 @@
     }
 
     /**
-     * Guards against a request written to a pooled connection that the server has closed: the
-     * closing must be seen before a byte is sent, and the request must arrive exactly once.
+     * Guards against an append written to a pooled connection that the server is closing: it would
+     * fail although the log is well, and nobody would know whether it took effect.
      */
     @Test
-    void seesStalePooledConnectionsBeforeSending() throws Exception {
+    void appendsOverFreshConnections() throws Exception {
         Script script =
                 (connection, request) -> {
                     connection.answer(201, "{\"offset\":1}");
                     connection.close();
                 };
         try (SocketServer server = new SocketServer(script)) {
-            for (int index = 1; index <= 20; index++) {
+            for (int index = 1; index <= 50; index++) {
                 log(server).append(RECORD).toCompletableFuture().get();
                 assertThat(server.requests).hasSize(index);
+                assertThat(server.connections()).isEqualTo(index);
             }
         }
     }
 
+    /** Guards against a read over a stale pooled connection that the client repeats by itself. */
+    @Test
+    void neverRepeatsReadsOverStaleConnections() throws Exception {
+        Script script =
+                (connection, request) -> {
+                    connection.answer(200, "{\"vms\":[]}");
+                    connection.close();
+                };
+        try (SocketServer server = new SocketServer(script)) {
+            HttpVirtualMachineList list = new HttpVirtualMachineList(http, server.base());
+            for (int index = 1; index <= 50; index++) {
+                // The server's close may arrive between validation and first byte; the call fails
+                // then.
+                list.read().handle((found, failure) -> null).toCompletableFuture().get();
+                assertThat(server.requests).hasSizeLessThanOrEqualTo(index);
+            }
+            assertThat(server.requests).isNotEmpty();
+        }
+    }
+
     /** Guards against an answer that exhausts the memory. */
     @Test
     void boundsAnswers() throws Exception {
