Share the cost of a prefill among the requests that use it

The weight of a quarter for the delay of others was a compromise: cold prefixes were copied too easily, hot ones too late.

The main class of the measurement takes the policies to run as arguments.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
@@ -23,13 +23,6 @@
     /** Share of a target's stream capacity that one prefix may take before it gets more homes. */
     private static final double HOME_SHARE = 0.5;
 
-    /**
-     * Weight of the delay that a prefill adds to other requests. With 0.1 the measured deployments
-     * fall into a state in which most requests are recomputed; with 0.5 the queues of the engines
-     * with hot prefixes double the tail latency at 90% load.
-     */
-    private static final double OTHERS_WEIGHT = 0.25;
-
     private static final double MILLISECONDS_PER_SECOND = 1000.0;
 
     private final PlacementSettings settings;
@@ -49,11 +42,11 @@
         }
         int homeBlock = homeBlock(request.chain(), view.index().popularity());
         int homes = homes(request.chain(), homeBlock, view);
-        double arrivals = view.load().dispatchesPerSecond() / eligible.targets().size();
+        PlacementCost cost = cost(request.chain(), homeBlock, eligible, view);
         Candidate best = null;
         for (TargetId target : candidates(request.chain(), homeBlock, homes, eligible, view)) {
             if (eligible.contains(target) && request.admits(target, view)) {
-                best = better(best, evaluate(request.chain(), target, arrivals, view));
+                best = better(best, evaluate(request.chain(), target, cost, view));
             }
         }
         // A request waits for the best target rather than being recomputed by another with room,
@@ -111,26 +104,29 @@
         return candidates;
     }
 
-    private Candidate evaluate(
-            BlockChain chain, TargetId target, double arrivals, PlacementView view) {
+    private PlacementCost cost(
+            BlockChain chain, int homeBlock, EligibleTargets eligible, PlacementView view) {
+        double rate =
+                homeBlock < 0
+                        ? 0
+                        : view.index().popularity().rate(chain.hash(homeBlock))
+                                * view.load().daemons();
+        return new PlacementCost(
+                settings.weights(),
+                view.load(),
+                view.load().dispatchesPerSecond() / eligible.targets().size(),
+                rate);
+    }
+
+    private static Candidate evaluate(
+            BlockChain chain, TargetId target, PlacementCost cost, PlacementView view) {
         LoadView load = view.load();
         int cachedBlocks = view.index().matchedBlocks(target, chain);
         double queueing = load.queueingSeconds(target);
         double prefill =
                 (double) chain.uncachedTokens(cachedBlocks)
                         / load.settings().prefillTokensPerSecond();
-        double cost =
-                settings.weights().cost(queueing, prefill)
-                        + settings.weights().tailLatency() * delayOfOthers(prefill, arrivals);
-        return new Candidate(target, cachedBlocks, queueing, cost);
-    }
-
-    /**
-     * Returns the seconds that a prefill adds to requests that arrive at the target meanwhile: each
-     * of the {@code arrivals × prefill} requests waits half of the prefill longer on average.
-     */
-    private static double delayOfOthers(double prefill, double arrivals) {
-        return OTHERS_WEIGHT * arrivals * prefill * prefill / 2;
+        return new Candidate(target, cachedBlocks, queueing, cost.of(target, queueing, prefill));
     }
 
     /** Prefers the lower cost, then the earlier candidate. */
--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/PolicyMeasurementMain.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/PolicyMeasurementMain.java
@@ -1,9 +1,13 @@
 package org.bergamothoist.measure;
 
 import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
 
-/** Prints the rows of a measurement as a table: {@code <deployment> <seed>}. */
+/** Prints the rows of a measurement as a table: {@code <deployment> <seed> [<policy>...]}. */
 public final class PolicyMeasurementMain {
 
     private static final String HEADER = "%-16s %-20s %8s %8s %8s %8s %12s %8s %8s %7s%n";
@@ -13,15 +17,24 @@
 
     /** Runs the measurement of a deployment, {@code brunner} or {@code al-harthy}, and a seed. */
     public static void main(String[] arguments) {
-        if (arguments.length != 2) {
-            System.err.println("usage: <brunner|al-harthy> <seed>");
+        if (arguments.length < 2) {
+            System.err.println("usage: <brunner|al-harthy> <seed> [<policy>...]");
             System.exit(2);
         }
-        Deployment deployment = Deployment.named(arguments[0]);
-        print(new PolicyMeasurement(deployment, Long.parseLong(arguments[1])), System.out);
+        PolicyMeasurement measurement =
+                new PolicyMeasurement(Deployment.named(arguments[0]), Long.parseLong(arguments[1]));
+        print(measurement, policies(arguments), System.out);
     }
 
-    private static void print(PolicyMeasurement measurement, PrintStream output) {
+    private static Set<PolicyKind> policies(String[] arguments) {
+        Set<String> labels = Set.of(Arrays.copyOfRange(arguments, 2, arguments.length));
+        return Arrays.stream(PolicyKind.values())
+                .filter(policy -> labels.isEmpty() || labels.contains(policy.label()))
+                .collect(Collectors.toCollection(() -> EnumSet.noneOf(PolicyKind.class)));
+    }
+
+    private static void print(
+            PolicyMeasurement measurement, Set<PolicyKind> policies, PrintStream output) {
         output.printf(
                 HEADER,
                 "policy",
@@ -34,7 +47,7 @@
                 "refused",
                 "offered",
                 "score");
-        for (MeasurementRow row : measurement.measure()) {
+        for (MeasurementRow row : measurement.measure(EnumSet.allOf(Scenario.class), policies)) {
             output.printf(
                     Locale.ROOT,
                     ROW,
