Count the last free places of an engine as costly

Prefixes stuck to their engines until these had no place in the batch left, and everything behind waited for streams to end. The cost now has the predicted wait of later streams at an almost full engine.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementCost.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementCost.java
@@ -18,7 +18,18 @@
      */
     private static final double KEPT_SECONDS = 3.0;
 
+    /** Weight of the predicted delay of later streams at a target that is almost full. */
+    private static final double FULLNESS_WEIGHT = 0.5;
+
+    /**
+     * Free places below which a target does not count as fuller; their number is not known well.
+     */
+    private static final double LEAST_FREE_PLACES = 4.0;
+
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
     private final PlacementWeights weights;
+    private final LoadView load;
     private final double arrivalsPerSecond;
     private final double requestsPerSecond;
 
@@ -34,6 +45,7 @@
             double arrivalsPerSecond,
             double requestsPerSecond) {
         this.weights = weights;
+        this.load = load;
         this.arrivalsPerSecond = arrivalsPerSecond;
         this.requestsPerSecond = requestsPerSecond;
     }
@@ -46,7 +58,7 @@
      */
     double of(TargetId target, double queueing, double prefill) {
         double own = weights.tailLatency() * (queueing + prefill);
-        return own + costToOthers(prefill);
+        return own + costToOthers(prefill) + fullness(target);
     }
 
     /**
@@ -58,4 +70,18 @@
         double cost = weights.recomputation() * prefill + weights.tailLatency() * delay;
         return cost / (1 + requestsPerSecond * KEPT_SECONDS);
     }
+
+    /**
+     * Returns the cost of taking one of the target's last places, by Sakasegawa's approximation of
+     * the waiting time in a queue with many servers. It spreads hot prefixes before a target is
+     * full.
+     */
+    private double fullness(TargetId target) {
+        int places = load.settings().streamsPerTarget();
+        double used = Math.min(1, (double) load.streams(target) / places);
+        double free = Math.max(1 - used, LEAST_FREE_PLACES / places);
+        double seconds = load.settings().streamDuration().toMillis() / MILLISECONDS_PER_SECOND;
+        double wait = Math.pow(used, Math.sqrt(2.0 * (places + 1)) - 1) * seconds / places / free;
+        return FULLNESS_WEIGHT * weights.tailLatency() * wait;
+    }
 }
