Charge for prefixes that another daemon computes a second time

After a crash each daemon put the orphaned prefixes elsewhere, since none knew of the others' choices for about 2 s. The cost of a target other than the prefix's next home now has the prefill that another daemon will probably repeat. With it, the weight of the last free places is 0.7 and the least free places 3.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementCost.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PlacementCost.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.core.placement;
 
+import java.util.Optional;
 import org.bergamothoist.core.identity.TargetId;
 
 /** Computes the cost of candidates for one request, in weighted seconds. */
@@ -19,12 +20,18 @@
     private static final double KEPT_SECONDS = 3.0;
 
     /** Weight of the predicted delay of later streams at a target that is almost full. */
-    private static final double FULLNESS_WEIGHT = 0.5;
+    private static final double FULLNESS_WEIGHT = 0.7;
 
     /**
      * Free places below which a target does not count as fuller; their number is not known well.
      */
-    private static final double LEAST_FREE_PLACES = 4.0;
+    private static final double LEAST_FREE_PLACES = 3.0;
+
+    /** Weight of the prefill that another daemon does a second time. */
+    private static final double DUPLICATE_WEIGHT = 2.0;
+
+    /** Usual time until all daemons know that a target has computed a prefix. */
+    private static final double KNOWLEDGE_SECONDS = 2.0;
 
     private static final double MILLISECONDS_PER_SECOND = 1000.0;
 
@@ -32,22 +39,26 @@
     private final LoadView load;
     private final double arrivalsPerSecond;
     private final double requestsPerSecond;
+    private final Optional<TargetId> nextHome;
 
     /**
      * Creates the cost of a request's candidates.
      *
      * @param arrivalsPerSecond requests that each target usually gets in a second
      * @param requestsPerSecond requests for the prefix in a second, from all daemons
+     * @param nextHome the home that the daemons agree to compute the prefix at next
      */
     PlacementCost(
             PlacementWeights weights,
             LoadView load,
             double arrivalsPerSecond,
-            double requestsPerSecond) {
+            double requestsPerSecond,
+            Optional<TargetId> nextHome) {
         this.weights = weights;
         this.load = load;
         this.arrivalsPerSecond = arrivalsPerSecond;
         this.requestsPerSecond = requestsPerSecond;
+        this.nextHome = nextHome;
     }
 
     /**
@@ -58,7 +69,7 @@
      */
     double of(TargetId target, double queueing, double prefill) {
         double own = weights.tailLatency() * (queueing + prefill);
-        return own + costToOthers(prefill) + fullness(target);
+        return own + costToOthers(prefill) + fullness(target) + duplicate(target, prefill);
     }
 
     /**
@@ -84,4 +95,16 @@
         double wait = Math.pow(used, Math.sqrt(2.0 * (places + 1)) - 1) * seconds / places / free;
         return FULLNESS_WEIGHT * weights.tailLatency() * wait;
     }
+
+    /**
+     * Returns the cost of computing a prefix elsewhere than at its next home: another daemon that
+     * gets a request for it, before it knows, computes it at the home as well.
+     */
+    private double duplicate(TargetId target, double prefill) {
+        if (nextHome.isEmpty() || nextHome.get().equals(target)) {
+            return 0;
+        }
+        double probability = 1 - Math.exp(-requestsPerSecond * KNOWLEDGE_SECONDS);
+        return DUPLICATE_WEIGHT * probability * weights.cost(0, prefill);
+    }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/PrefixAwarePolicy.java
@@ -42,7 +42,7 @@
         }
         int homeBlock = homeBlock(request.chain(), view.index().popularity());
         int homes = homes(request.chain(), homeBlock, view);
-        PlacementCost cost = cost(request.chain(), homeBlock, eligible, view);
+        PlacementCost cost = cost(request.chain(), homeBlock, homes, eligible, view);
         Candidate best = null;
         for (TargetId target : candidates(request.chain(), homeBlock, homes, eligible, view)) {
             if (eligible.contains(target) && request.admits(target, view)) {
@@ -105,7 +105,11 @@
     }
 
     private PlacementCost cost(
-            BlockChain chain, int homeBlock, EligibleTargets eligible, PlacementView view) {
+            BlockChain chain,
+            int homeBlock,
+            int homes,
+            EligibleTargets eligible,
+            PlacementView view) {
         double rate =
                 homeBlock < 0
                         ? 0
@@ -115,7 +119,23 @@
                 settings.weights(),
                 view.load(),
                 view.load().dispatchesPerSecond() / eligible.targets().size(),
-                rate);
+                rate,
+                nextHome(chain, homeBlock, homes, eligible, view));
+    }
+
+    /** Returns the home that the daemons agree to compute the prefix at next, if there is one. */
+    private static Optional<TargetId> nextHome(
+            BlockChain chain,
+            int homeBlock,
+            int homes,
+            EligibleTargets eligible,
+            PlacementView view) {
+        if (homeBlock < 0) {
+            return Optional.empty();
+        }
+        return eligible.homes(chain.hash(homeBlock), homes).stream()
+                .filter(home -> view.index().matchedBlocks(home, chain) <= homeBlock)
+                .findFirst();
     }
 
     private static Candidate evaluate(
