Add randomised runs of several nodes under faults

Cause: the guarantees were tested part by part, never with several nodes, a shared log and faults at once. Change: package measure.check drives 1 to 6 router nodes on one virtual clock against small fakes of the log, the list of VMs, the peer network, engines and services, with callers and operators that repeat their requests. Oracles check G1 to G9 from outside. Plans are drawn before a run, so that a failing one is shortened by dropping steps. A dispatch event now names the predicted blocks and the incarnation that they are predicted for.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -193,7 +193,13 @@
                 .record(
                         EventKind.REQUEST_DISPATCHED,
                         exchange.id().toString(),
-                        choice.target().id() + " attempt " + attempt.number());
+                        choice.target().id()
+                                + " attempt "
+                                + attempt.number()
+                                + " predicts "
+                                + choice.predictedCachedBlocks()
+                                + " blocks of incarnation "
+                                + choice.incarnation());
     }
 
     private void resume(RunningCompletion completion, CompletionExchange.ResumePoint point) {
--- /dev/null
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/ServiceAccess.java
@@ -0,0 +1,53 @@
+package org.bergamothoist.measure.check;
+
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.platform.EngineStream;
+import org.bergamothoist.core.platform.ServiceCall;
+import org.bergamothoist.core.platform.ServiceClient;
+import org.bergamothoist.core.platform.ServiceListener;
+import org.bergamothoist.core.platform.TargetFailure;
+
+/** One node's access to the fake plain services. */
+final class ServiceAccess implements ServiceClient {
+
+    /** Header in which the fake callers name their organisation. */
+    static final String ORGANISATION = "organisation";
+
+    private final World world;
+    private final String daemon;
+    private final SimulatedProcess node;
+
+    ServiceAccess(World world, String daemon, SimulatedProcess node) {
+        this.world = world;
+        this.daemon = daemon;
+        this.node = node;
+    }
+
+    @Override
+    public EngineStream start(ServiceCall call, ServiceListener listener) {
+        world.leavingOracle().dispatched(daemon, call.target().id());
+        Connection<ServiceListener> connection = new Connection<>(world.time(), node, listener);
+        world.time()
+                .schedule(
+                        Connection.LATENCY,
+                        () -> {
+                            FakeService service = world.service(call.target().id());
+                            if (service == null || !service.alive()) {
+                                connection.end(ServiceAccess::refuse);
+                                return;
+                            }
+                            connection.deliver(ServiceListener::onSending);
+                            world.received(
+                                    new OrganisationId(call.headers().get(ORGANISATION).get(0)),
+                                    call.requestId(),
+                                    call.target().id(),
+                                    daemon);
+                            service.process().execute(() -> service.accept(call, connection));
+                        });
+        return connection;
+    }
+
+    private static void refuse(ServiceListener listener) {
+        listener.onFailed(new TargetFailure(TargetFailure.Kind.NOT_SENT, "connection refused"));
+    }
+}
