--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/DaemonHost.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/DaemonHost.java
@@ -32,6 +32,7 @@
     private static final int CALLER_PORT = 8_080;
     static final int BLOCK_TOKENS = 16;
     private static final int PREFILL_TOKENS_PER_SECOND = 4_000;
+    private static final int IMPORT_TOKENS_PER_SECOND = 40_000;
     private static final int MODELS_PER_ENGINE = 2;
 
     private final World world;
@@ -184,6 +185,7 @@
                 STOP_DEADLINE,
                 MODELS_PER_ENGINE,
                 PREFILL_TOKENS_PER_SECOND,
+                IMPORT_TOKENS_PER_SECOND,
                 true,
                 new DispatchSettings(
                         6,
