--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
@@ -101,7 +101,6 @@
                 blockTokens,
                 new Bounds(KIBIBYTE * KIBIBYTE, KIBIBYTE * KIBIBYTE, 16 * KIBIBYTE),
                 new Timings(
-                        Duration.ofMinutes(10),
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(30),
                         Duration.ofSeconds(20),
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/settings/SettingsLoader.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/settings/SettingsLoader.java
@@ -246,7 +246,6 @@
     private static Timings timings(SettingsNode node) {
         Timings timings =
                 new Timings(
-                        node.duration("duplicate_window", Duration.ofMinutes(10)),
                         node.duration("address_lifetime", Duration.ofSeconds(5)),
                         node.duration("stop_deadline", Duration.ofSeconds(60)),
                         node.duration("first_token_timeout", Duration.ofSeconds(30)),
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/settings/Timings.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/settings/Timings.java
@@ -5,7 +5,6 @@
 /**
  * Time limits.
  *
- * @param duplicateWindow age up to which a non-idempotent request is accepted
  * @param addressLifetime time for which callers may keep an address answer
  * @param stopDeadline time after which a planned stop no longer waits for streams
  * @param firstTokenTimeout time for which a dispatch may stay without a first token
@@ -14,7 +13,6 @@
  * @param callerIdle time after which a caller's connection without progress is closed
  */
 public record Timings(
-        Duration duplicateWindow,
         Duration addressLifetime,
         Duration stopDeadline,
         Duration firstTokenTimeout,
