--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/capacity/CapacityMeasurement.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/capacity/CapacityMeasurement.java
@@ -13,6 +13,7 @@
         new StateSlopes(meter).measure();
         new RequestSlopes(meter).measure();
         new PeerSlopes(meter).measure();
+        new PlacementSlopes(meter).measure();
         return meter.slopes();
     }
 }
