--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/AdmissionController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/AdmissionController.java
@@ -299,7 +299,7 @@
         private int running;
 
         private OrganisationUse(Instant now) {
-            bucket = new TokenBucket(1, now);
+            bucket = new TokenBucket(now);
         }
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/TokenBucket.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/TokenBucket.java
@@ -10,8 +10,9 @@
     private double tokens;
     private Instant updatedAt;
 
-    TokenBucket(double tokens, Instant now) {
-        this.tokens = tokens;
+    /** Creates a bucket that is full, whatever its burst is. */
+    TokenBucket(Instant now) {
+        this.tokens = Double.MAX_VALUE;
         this.updatedAt = now;
     }
 
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/cache/CacheIndexTest.java
@@ -0,0 +1,234 @@
+package org.bergamothoist.core.cache;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.bergamothoist.core.identity.EngineIncarnation;
+import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.platform.CacheEvent;
+import org.bergamothoist.core.platform.CacheEventPage;
+import org.bergamothoist.core.platform.CacheSnapshot;
+import org.bergamothoist.core.prompt.BlockChain;
+import org.bergamothoist.core.prompt.BlockHasher;
+import org.bergamothoist.core.prompt.Prompt;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CacheIndexTest {
+
+    private static final TargetId ENGINE = new TargetId("engine-1");
+    private static final EngineIncarnation FIRST = new EngineIncarnation("run-1");
+    private static final EngineIncarnation SECOND = new EngineIncarnation("run-2");
+    private static final BlockChain CHAIN = chain(1, 2, 3);
+
+    private final ManualTime time = new ManualTime();
+    private final CacheIndex index = index(1_000);
+
+    private CacheIndex index(int entries) {
+        return new CacheIndex(
+                new CacheIndexSettings(entries, 256, Duration.ofSeconds(20)),
+                time,
+                (guarantee, holds, detail) -> assertThat(holds).as(detail.get()).isTrue());
+    }
+
+    private static BlockChain chain(long... hashes) {
+        return new BlockChain(hashes, hashes.length * 10 + 5, 10);
+    }
+
+    private static CacheEvent stored(long sequence, long hash) {
+        return new CacheEvent(sequence, CacheEvent.Kind.STORED, hash);
+    }
+
+    private static CacheEvent removed(long sequence, long hash) {
+        return new CacheEvent(sequence, CacheEvent.Kind.REMOVED, hash);
+    }
+
+    private void events(EngineIncarnation incarnation, CacheEvent... events) {
+        index.onEvents(ENGINE, new CacheEventPage(incarnation, List.of(events)));
+    }
+
+    /** Guards against counting a hole's later blocks, which an engine cannot use. */
+    @Test
+    void onlyTheLeadingRunCounts() {
+        events(FIRST, stored(1, 1), stored(2, 3));
+
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isEqualTo(1);
+    }
+
+    /** Guards against relying on the cache of a dead engine after any kind of evidence. */
+    @ParameterizedTest
+    @CsvSource({"report", "event", "answer", "snapshot"})
+    void anotherIncarnationDropsAllEntries(String evidence) {
+        index.onAnswer(ENGINE, FIRST, CHAIN, 0);
+
+        switch (evidence) {
+            case "report" -> index.observe(ENGINE, SECOND);
+            case "event" -> events(SECOND, stored(7, 99));
+            case "answer" -> index.onAnswer(ENGINE, SECOND, chain(9), 0);
+            default -> index.onSnapshot(ENGINE, new CacheSnapshot(SECOND, 1, List.of(99L)));
+        }
+
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isZero();
+        assertThat(index.holders(CHAIN, 5)).isEmpty();
+        assertThat(index.incarnation(ENGINE)).contains(SECOND);
+    }
+
+    /** Guards against a late message of the old run bringing its cache back. */
+    @Test
+    void messagesOfAReplacedIncarnationAreIgnored() {
+        index.onAnswer(ENGINE, FIRST, CHAIN, 0);
+        index.observe(ENGINE, SECOND);
+
+        events(FIRST, stored(4, 1));
+        index.onAnswer(ENGINE, FIRST, CHAIN, 30);
+        index.onSnapshot(ENGINE, new CacheSnapshot(FIRST, 9, List.of(1L, 2L, 3L)));
+
+        assertThat(index.incarnation(ENGINE)).contains(SECOND);
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isZero();
+    }
+
+    /** Guards against using entries between a lost connection and the next sign of life. */
+    @Test
+    void lostConnectionHidesEntriesUntilTheIncarnationIsConfirmed() {
+        index.onAnswer(ENGINE, FIRST, CHAIN, 0);
+        long epoch = index.connectionEpoch(ENGINE);
+        index.connectionLost(ENGINE);
+        index.onDispatch(ENGINE, CHAIN);
+
+        assertThat(index.observe(ENGINE, FIRST, epoch)).as("evidence from before").isFalse();
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isZero();
+        assertThat(index.holders(CHAIN, 5)).isEmpty();
+
+        index.observe(ENGINE, FIRST);
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isEqualTo(3);
+    }
+
+    /** Guards against applying an event twice or an old one after a newer one. */
+    @Test
+    void duplicatedAndReorderedEventsAreIgnored() {
+        events(FIRST, stored(1, 1), removed(2, 1));
+        events(FIRST, stored(1, 1));
+
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isZero();
+        assertThat(index.lastSequence(ENGINE)).isEqualTo(2);
+    }
+
+    /** Guards against an index that stays wrong after lost events. */
+    @Test
+    void gapRequiresASnapshotWhichReplacesTheEntries() {
+        index.onSnapshot(ENGINE, new CacheSnapshot(FIRST, 5, List.of(1L, 2L)));
+        assertThat(index.needsResynchronisation(ENGINE)).isFalse();
+
+        events(FIRST, stored(8, 3));
+        assertThat(index.needsResynchronisation(ENGINE)).isTrue();
+
+        index.onSnapshot(ENGINE, new CacheSnapshot(FIRST, 9, List.of(1L)));
+        events(FIRST, stored(7, 2), stored(9, 2));
+        assertThat(index.needsResynchronisation(ENGINE)).isFalse();
+        assertThat(index.matchedBlocks(ENGINE, CHAIN)).isEqualTo(1);
+    }
+
+    /** Guards against one organisation's or version's prompt matching another's cache. */
+    @Test
+    void anotherOrganisationsOrVersionsChainNeverMatches() {
+        BlockHasher hasher = new BlockHasher(1);
+        Prompt prompt = new Prompt("the same prompt for everybody");
+        ModelKey model = new ModelKey("atelier", ModelKey.NO_ADAPTER, "1");
+        ModelKey newer = new ModelKey("atelier", ModelKey.NO_ADAPTER, "2");
+        OrganisationId clinic = new OrganisationId("clinic");
+        index.onAnswer(ENGINE, FIRST, hasher.chain(clinic, model, prompt), 0);
+
+        BlockChain others = hasher.chain(new OrganisationId("workshop"), model, prompt);
+        assertThat(index.matchedBlocks(ENGINE, others)).isZero();
+        assertThat(index.holders(others, 5)).isEmpty();
+        assertThat(index.matchedBlocks(ENGINE, hasher.chain(clinic, newer, prompt))).isZero();
+    }
+
+    /** Guards against a peer's outdated word on an engine that has restarted since. */
+    @Test
+    void hotPrefixesOfAnotherIncarnationAreNotImported() {
+        index.observe(ENGINE, FIRST);
+        index.onDispatch(ENGINE, CHAIN);
+        index.onDispatch(ENGINE, CHAIN);
+        CacheIndex restarted = index(1_000);
+        CacheIndex current = index(1_000);
+        current.observe(ENGINE, SECOND);
+
+        restarted.importHot(index.hottest(10));
+        current.importHot(index.hottest(10));
+
+        assertThat(restarted.matchedBlocks(ENGINE, CHAIN)).isEqualTo(3);
+        assertThat(current.matchedBlocks(ENGINE, CHAIN)).isZero();
+    }
+
+    /** Guards against unbounded memory and against broken links between entries after eviction. */
+    @Property(tries = 200, seed = "4711")
+    void agreesWithAModelAndStaysBounded(@ForAll long seed) {
+        Random random = new Random(seed);
+        EntryTable table = new EntryTable(32);
+        List<Long> model = new ArrayList<>();
+        for (int step = 0; step < 400; step++) {
+            int owner = random.nextInt(3);
+            long hash = random.nextInt(20);
+            long key = owner * 100L + hash;
+            model.remove(key);
+            if (random.nextInt(4) == 0) {
+                table.remove(owner, hash);
+            } else {
+                table.put(owner, hash);
+                model.add(key);
+                if (model.size() > 32) {
+                    model.remove(0);
+                }
+            }
+        }
+        Set<Long> found = new HashSet<>();
+        LongStream.range(0, 20)
+                .forEach(
+                        hash -> {
+                            int entry = table.firstOf(hash);
+                            while (entry != EntryTable.NONE) {
+                                found.add(table.owner(entry) * 100L + hash);
+                                entry = table.nextOf(entry);
+                            }
+                        });
+        assertThat(found).isEqualTo(new HashSet<>(model));
+        assertThat(table.size()).isEqualTo(model.size());
+        assertThat(table.capacity()).isLessThanOrEqualTo(32);
+    }
+
+    /** Guards against a target's slot being reused with the old target's entries. */
+    @Test
+    void forgottenTargetsLeaveNoEntriesToTheirSuccessors() {
+        index.onAnswer(ENGINE, FIRST, CHAIN, 0);
+        index.forget(ENGINE);
+        TargetId successor = new TargetId("engine-2");
+        index.observe(successor, FIRST);
+
+        assertThat(index.matchedBlocks(successor, CHAIN)).isZero();
+        assertThatCode(() -> index.holders(CHAIN, 5)).doesNotThrowAnyException();
+        assertThat(index.holders(CHAIN, 5)).isEmpty();
+    }
+
+    /** Guards against stale entries counting again after owner numbers wrap around. */
+    @Test
+    void entriesDoNotReturnAfterManyRestarts() {
+        index.onAnswer(ENGINE, FIRST, CHAIN, 0);
+        for (int run = 0; run < 1 << 16; run++) {
+            index.observe(ENGINE, new EngineIncarnation("later-" + run));
+            assertThat(index.matchedBlocks(ENGINE, CHAIN)).isZero();
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/limit/OrganisationShareTest.java
@@ -0,0 +1,127 @@
+package org.bergamothoist.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.assertj.core.data.Offset;
+import org.bergamothoist.core.cache.ManualTime;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.junit.jupiter.api.Test;
+
+class OrganisationShareTest {
+
+    private static final OrganisationId CLINIC = new OrganisationId("clinic");
+    private static final int LIMIT = 120;
+    private static final double ROUNDING = 1e-9;
+
+    private final ManualTime time = new ManualTime();
+
+    /**
+     * Guards against exceeding the limit over all daemons while demand moves and two of three
+     * heartbeats between each pair are lost or late, so that all views differ.
+     */
+    @Property(tries = 100, seed = "815")
+    void sharesNeverExceedTheLimitWhenViewsDiffer(
+            @ForAll long seed, @ForAll @IntRange(min = 2, max = 8) int count) {
+        Random random = new Random(seed);
+        List<OrganisationShare> daemons = daemons(count);
+        for (int second = 0; second < 40; second++) {
+            for (int sender = 0; sender < count; sender++) {
+                Map<OrganisationId, Integer> demand =
+                        Map.of(CLINIC, random.nextInt(3) == 0 ? random.nextInt(400) : 0);
+                daemons.get(sender).announced(demand);
+                send(daemons, sender, demand, second, random);
+            }
+            time.advance(Duration.ofSeconds(1));
+            if (second > 4) {
+                assertThat(sum(daemons)).isLessThanOrEqualTo(1 + ROUNDING);
+            }
+        }
+    }
+
+    /** Each pair's heartbeat of every third second arrives; the others arrive at random. */
+    private void send(
+            List<OrganisationShare> daemons,
+            int sender,
+            Map<OrganisationId, Integer> demand,
+            int second,
+            Random random) {
+        for (int receiver = 0; receiver < daemons.size(); receiver++) {
+            boolean arrives = (second + sender + receiver) % 3 == 0 || random.nextInt(4) == 0;
+            if (receiver != sender && arrives) {
+                OrganisationShare target = daemons.get(receiver);
+                int number = sender;
+                time.schedule(Duration.ofMillis(1), () -> target.onHeartbeat(id(number), demand));
+            }
+        }
+    }
+
+    /** Guards against a partition in which both sides use the whole limit. */
+    @Test
+    void partitionedGroupsStayWithinTheLimitTogether() {
+        List<OrganisationShare> daemons = daemons(6);
+        for (int second = 0; second < 6; second++) {
+            for (int sender = 0; sender < 6; sender++) {
+                Map<OrganisationId, Integer> demand = Map.of(CLINIC, sender == 0 ? 500 : 100);
+                daemons.get(sender).announced(demand);
+                for (int receiver = 0; receiver < 6; receiver++) {
+                    if (receiver != sender && receiver / 2 == sender / 2) {
+                        daemons.get(receiver).onHeartbeat(id(sender), demand);
+                    }
+                }
+            }
+            time.advance(Duration.ofSeconds(1));
+        }
+        assertThat(sum(daemons)).isCloseTo(1, Offset.offset(ROUNDING));
+    }
+
+    /** Guards against shares that ignore demand, and against a busy daemon below an equal share. */
+    @Test
+    void demandIsFollowedAndTheEqualShareIsTheFloor() {
+        List<OrganisationShare> daemons = daemons(4);
+        int[] demands = {1_000, 40, 0, 0};
+        for (int second = 0; second < 6; second++) {
+            for (int sender = 0; sender < 4; sender++) {
+                Map<OrganisationId, Integer> demand = Map.of(CLINIC, demands[sender]);
+                daemons.get(sender).announced(demand);
+                for (int receiver = 0; receiver < 4; receiver++) {
+                    if (receiver != sender) {
+                        daemons.get(receiver).onHeartbeat(id(sender), demand);
+                    }
+                }
+            }
+            time.advance(Duration.ofSeconds(1));
+        }
+        assertThat(daemons.get(0).share(CLINIC, LIMIT)).isGreaterThan(0.5);
+        assertThat(daemons.get(1).share(CLINIC, LIMIT)).isGreaterThanOrEqualTo(0.25 - ROUNDING);
+        assertThat(daemons.get(2).share(CLINIC, LIMIT)).isPositive();
+        assertThat(sum(daemons)).isCloseTo(1, Offset.offset(ROUNDING));
+    }
+
+    private List<OrganisationShare> daemons(int count) {
+        List<OrganisationShare> daemons = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            OrganisationShare share =
+                    new OrganisationShare(time, OrganisationShare.STANDARD_WINDOW);
+            share.daemons(count);
+            daemons.add(share);
+        }
+        return daemons;
+    }
+
+    private static double sum(List<OrganisationShare> daemons) {
+        return daemons.stream().mapToDouble(share -> share.share(CLINIC, LIMIT)).sum();
+    }
+
+    private static DaemonId id(int number) {
+        return new DaemonId("daemon-" + number, 1);
+    }
+}
