--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -191,9 +191,7 @@
                 new RequestIntake.Parts(
                         completionChain,
                         serviceChain,
-                        new RepeatAwareOutcomeGuard(
-                                environment.monitor(),
-                                () -> gate.configuration().get() == Configuration.FRESH),
+                        new RepeatAwareOutcomeGuard(environment.monitor()),
                         tokenCodec,
                         environment.monitor(),
                         environment.scheduler(),
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RepeatAwareOutcomeGuard.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RepeatAwareOutcomeGuard.java
@@ -1,7 +1,6 @@
 package org.bergamothoist.core.request;
 
 import java.time.Duration;
-import java.util.function.BooleanSupplier;
 import org.bergamothoist.core.invariant.Guarantee;
 import org.bergamothoist.core.invariant.InvariantMonitor;
 
@@ -9,8 +8,9 @@
  * Lets "not run" pass only if it is true.
  *
  * <p>A request whose identifier was created well before it arrived here may be a repeat of one that
- * another daemon is running. Claims tell for non-idempotent requests as long as the view of the log
- * is current. In all other cases "not run" becomes "unknown".
+ * another daemon runs, has run, or holds in a queue and will run; a resumption always is. For these
+ * "not run" becomes "unknown". The claims of non-idempotent requests do not tell more: an earlier
+ * sending that waits in a queue claims only when it is dispatched.
  */
 public final class RepeatAwareOutcomeGuard implements OutcomeGuard {
 
@@ -18,16 +18,10 @@
     static final Duration REPEAT_AGE = Duration.ofSeconds(2);
 
     private final InvariantMonitor monitor;
-    private final BooleanSupplier claimsCurrent;
 
-    /**
-     * Creates a guard.
-     *
-     * @param claimsCurrent whether all claims up to the last seconds are known here
-     */
-    public RepeatAwareOutcomeGuard(InvariantMonitor monitor, BooleanSupplier claimsCurrent) {
+    /** Creates a guard. */
+    public RepeatAwareOutcomeGuard(InvariantMonitor monitor) {
         this.monitor = monitor;
-        this.claimsCurrent = claimsCurrent;
     }
 
     @Override
@@ -45,11 +39,8 @@
         return notRun;
     }
 
-    private boolean mayBeRepeat(RequestExchange exchange) {
+    private static boolean mayBeRepeat(RequestExchange exchange) {
         Duration age = Duration.between(exchange.id().creationTime(), exchange.arrivedAt());
-        if (age.compareTo(REPEAT_AGE) < 0) {
-            return false;
-        }
-        return exchange.idempotent() || !claimsCurrent.getAsBoolean();
+        return exchange.resuming() || age.compareTo(REPEAT_AGE) >= 0;
     }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -150,7 +150,7 @@
                         submission,
                         resumePoint,
                         relay,
-                        new RepeatAwareOutcomeGuard(monitor, () -> true));
+                        new RepeatAwareOutcomeGuard(monitor));
         exchange.authenticatedAs(organisation());
         exchange.resolved(
                 KEY,
