Let shares of a limit follow the demand that was last announced

A daemon counted its own demand as the least of the last 4 s, rates were whole requests of a single second, and address answers with an affinity text moved their callers to another daemon each time. Callers far below their organisation's limit were refused, and their repeats kept the demand high.

Shares now use the demand as last announced, demand is the larger of the last second and the mean of 5 s, and an affinity text always names the same daemon first. The shares add up to at most the limit as before, except while an announcement is under way or lost.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/OrganisationShare.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/OrganisationShare.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import org.bergamothoist.core.identity.DaemonId;
@@ -15,34 +13,27 @@
  *
  * <p>With L the limit and n the daemons of the roster, a daemon gets the larger of min(demand, L/n)
  * and λ times its demand, with one λ so that the shares add up to L. A daemon counts its own demand
- * as the least that it announced within the window, and a peer's as last heard within the window; a
- * peer that was not heard within the window is given an equal share.
+ * as last announced, and a peer's as last heard within the window; a peer that was not heard within
+ * the window is given an equal share.
  *
- * <p>Bound: if each two daemons either hear a heartbeat of each other within each window or hear
- * nothing of each other, and the latter splits them into groups, the shares add up to at most L,
- * however much the views of the demand differ. A peer's view of a daemon's demand is then one of
- * the announcements of the window, and so at least what the daemon uses. Without that condition
- * (one direction of a connection lost) each share is still at most L. Confined to the control
- * thread.
+ * <p>Bound: while every announcement reaches every peer, the shares add up to at most L, except for
+ * the time that an announcement is under way. After lost heartbeats they can add up to more, for at
+ * most the window; each share is still at most L. A strict bound would count the own demand as the
+ * least of the window, which gives a caller that moves to another daemon a fraction of an unused
+ * limit for as long. Confined to the control thread.
  */
 public final class OrganisationShare {
 
     /** Time of the heartbeats that views are made from; a daemon that is silent longer is dead. */
     public static final Duration STANDARD_WINDOW = Duration.ofSeconds(3);
 
-    /**
-     * Longest time for which a heartbeat is under way. Own announcements count that much longer,
-     * since a peer may have received them that much later.
-     */
-    private static final Duration MAXIMUM_FLIGHT = Duration.ofSeconds(1);
-
     /** Demand, as a share of L/n, that a daemon without demand counts with, to start at once. */
     private static final double IDLE_DEMAND = 0.25;
 
     private final InstantSource clock;
     private final Duration window;
-    private final Deque<Announcement> own = new ArrayDeque<>();
     private final Map<DaemonId, Announcement> peers = new HashMap<>();
+    private Map<OrganisationId, Integer> own = Map.of();
     private int daemons = 1;
 
     /** Creates shares for a single daemon. */
@@ -58,12 +49,7 @@
 
     /** Takes the demand, in requests a second, that this daemon is about to send in a heartbeat. */
     public void announced(Map<OrganisationId, Integer> demand) {
-        Instant now = clock.instant();
-        own.addLast(new Announcement(now, Map.copyOf(demand)));
-        Instant oldest = now.minus(window).minus(MAXIMUM_FLIGHT);
-        while (own.peekFirst().at.isBefore(oldest)) {
-            own.removeFirst();
-        }
+        own = Map.copyOf(demand);
     }
 
     /** Takes the demand of a peer's heartbeat. */
@@ -87,7 +73,7 @@
         double limit = Math.max(1, requestsPerSecond);
         Instant now = clock.instant();
         double[] demands = new double[peers.size() + 1];
-        demands[0] = effective(ownDemand(organisation), limit);
+        demands[0] = effective(own.getOrDefault(organisation, 0), limit);
         int known = 1;
         for (Announcement peer : peers.values()) {
             if (!expired(peer, now)) {
@@ -103,13 +89,6 @@
         return Math.min(limit, Math.max(demand, IDLE_DEMAND * limit / daemons));
     }
 
-    private double ownDemand(OrganisationId organisation) {
-        return own.stream()
-                .mapToDouble(announcement -> announcement.demand(organisation))
-                .min()
-                .orElse(0);
-    }
-
     private boolean expired(Announcement announcement, Instant now) {
         return announcement.at.isBefore(now.minus(window));
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/AddressBook.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/AddressBook.java
@@ -45,8 +45,11 @@
      * Returns the addresses for a caller, best first.
      *
      * <p>Daemons of the caller's data centre come first, starting at another one for each answer.
-     * With an affinity text, the same few daemons come first for all callers that share it, in
-     * whatever data centre, since 1 ms between data centres costs less than a missed prefix.
+     * With an affinity text, the same few daemons come first in the same order for all callers that
+     * share it, in whatever data centre, since 1 ms between data centres costs less than a missed
+     * prefix. The order must not change from answer to answer: the shares of an organisation's
+     * limit follow its demand within seconds, and a caller that moves faster is refused below the
+     * limit.
      *
      * @param dataCentre the caller's data centre, if known
      * @param affinity text that related callers share, if any
@@ -81,8 +84,8 @@
                 Comparator.comparingLong(
                         (RosterMember member) -> hash(text, member.daemon().name())));
         List<RosterMember> best = ranked.subList(0, Math.min(AFFINITY_DAEMONS, ranked.size()));
+        to.addAll(best);
         from.removeAll(best);
-        to.addAll(rotated(best));
     }
 
     private void addRotated(
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
@@ -173,7 +173,7 @@
                         log.tail(),
                         targets.load(),
                         share,
-                        () -> requests().organisationDemand().perSecond(),
+                        () -> requests().organisationDemand().sustainedPerSecond(),
                         () -> lifecycle().status());
         return new PeerMembership(
                 settings.self(),
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/node/DemandMeterTest.java
@@ -0,0 +1,42 @@
+package org.bergamothoist.core.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class DemandMeterTest {
+
+    private Instant now = Instant.EPOCH;
+    private final DemandMeter<String> meter = new DemandMeter<>(() -> now);
+
+    /** Guards against a demand that falls to 0 whenever a second passes without a request. */
+    @Test
+    void aGapOfASecondDoesNotEndTheDemand() {
+        meter.add("clinic", 4);
+        advance(1);
+        assertThat(meter.sustainedPerSecond()).containsEntry("clinic", 4L);
+        advance(1);
+        assertThat(meter.perSecond()).isEmpty();
+        assertThat(meter.sustainedPerSecond()).containsEntry("clinic", 1L);
+    }
+
+    /** Guards against demand that is announced for ever. */
+    @Test
+    void demandEndsAfterTheLastIntervals() {
+        meter.add("clinic", 4);
+        advance(6);
+        assertThat(meter.sustainedPerSecond()).isEmpty();
+        meter.add("clinic", 2);
+        advance(60);
+        assertThat(meter.sustainedPerSecond()).isEmpty();
+        meter.add("clinic", 3);
+        advance(1);
+        assertThat(meter.sustainedPerSecond()).containsEntry("clinic", 3L);
+    }
+
+    private void advance(int seconds) {
+        now = now.plus(Duration.ofSeconds(seconds));
+    }
+}
