--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -23,7 +23,8 @@
             CheckSettingsCommand.class,
             SheetCommand.class,
             StatusCommand.class,
-            TimelineCommand.class
+            TimelineCommand.class,
+            DemoCommand.class
         })
 public final class BergamothoistCommand implements Runnable {
 
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
@@ -3,49 +3,41 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.bergamothoist.daemon.DaemonException;
 import org.bergamothoist.daemon.DaemonInstance;
 import org.bergamothoist.daemon.ProductionModule;
 import org.bergamothoist.daemon.settings.Bounds;
 import org.bergamothoist.daemon.settings.DaemonSettings;
 import org.bergamothoist.daemon.settings.DeploymentKey;
 import org.bergamothoist.daemon.settings.NetworkAddress;
-import org.bergamothoist.daemon.settings.OperatorKey;
 import org.bergamothoist.daemon.settings.PlatformUrls;
 import org.bergamothoist.daemon.settings.Timings;
-import org.bergamothoist.daemon.settings.Weightings;
 import org.bergamothoist.standin.PlatformStandIn;
 
 /** The daemons of a deployment on loopback, over stand-ins, all in this process. */
 public final class LocalDeployment implements AutoCloseable {
 
-    private static final String KEY_DIGEST =
-            "0000000000000000000000000000000000000000000000000000000000000000";
     private static final DeploymentKey DEPLOYMENT_KEY =
             new DeploymentKey(
                     "key of a deployment in one process".getBytes(StandardCharsets.UTF_8));
     private static final int KIBIBYTE = 1024;
 
+    /** A connection may hold the freed port of a killed daemon for a moment. */
+    private static final int START_ATTEMPTS = 50;
+
+    private static final long START_RETRY_MILLISECONDS = 100;
+
     private final PlatformStandIn platform;
-    private final Weightings weightings;
-    private final int blockTokens;
+    private final ExampleDeployment example;
     private final List<DaemonInstance> daemons = new ArrayList<>();
-    private final InstantSource clock;
-
-    /**
-     * Creates a deployment without daemons.
-     *
-     * @param blockTokens tokens of a cache block, the same as the engines'
-     */
-    public LocalDeployment(
-            PlatformStandIn platform, Weightings weightings, int blockTokens, InstantSource clock) {
+
+    /** Creates a deployment without daemons over stand-ins that are running. */
+    public LocalDeployment(PlatformStandIn platform, ExampleDeployment example) {
         this.platform = platform;
-        this.weightings = weightings;
-        this.blockTokens = blockTokens;
-        this.clock = clock;
+        this.example = example;
     }
 
     /** Starts a daemon on a VM of its own and returns it at once; it serves a little later. */
@@ -67,6 +59,29 @@
         return daemon.stop().toCompletableFuture().thenRun(() -> platform.removeDaemon(machine));
     }
 
+    /** Ends a daemon at once, as the loss of its process would; its VM stays on the list. */
+    public void killDaemon(DaemonInstance daemon) {
+        daemons.remove(daemon);
+        daemon.kill();
+    }
+
+    /** Starts a killed daemon again at the same addresses and returns it at once. */
+    public DaemonInstance restartDaemon(DaemonInstance killed) throws InterruptedException {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                DaemonInstance daemon =
+                        DaemonInstance.start(killed.settings(), new ProductionModule());
+                daemons.add(daemon);
+                return daemon;
+            } catch (DaemonException exception) {
+                if (attempt == START_ATTEMPTS) {
+                    throw exception;
+                }
+                Thread.sleep(START_RETRY_MILLISECONDS);
+            }
+        }
+    }
+
     /** Returns the running daemons. */
     public List<DaemonInstance> daemons() {
         return List.copyOf(daemons);
@@ -87,7 +102,7 @@
                 dataCentre,
                 platform.deployment().region(),
                 platform.deployment().name(),
-                weightings,
+                example.weightings(),
                 anyPort,
                 anyPort,
                 anyPort,
@@ -97,8 +112,8 @@
                         local(platform.weightStore().port()),
                         local(platform.cacheStore().port())),
                 DEPLOYMENT_KEY,
-                List.of(new OperatorKey("operator", "first-office", KEY_DIGEST)),
-                blockTokens,
+                example.operators(),
+                ExampleDeployment.BLOCK_TOKENS,
                 new Bounds(KIBIBYTE * KIBIBYTE, KIBIBYTE * KIBIBYTE, 16 * KIBIBYTE),
                 new Timings(
                         Duration.ofMinutes(10),
--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/LocalDeploymentTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/LocalDeploymentTest.java
@@ -2,23 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.sheet.OrganisationEntry;
-import org.bergamothoist.core.sheet.ParsedSheet;
-import org.bergamothoist.core.sheet.SheetCsv;
 import org.bergamothoist.core.sheet.SheetStatus;
 import org.bergamothoist.daemon.DaemonInstance;
-import org.bergamothoist.daemon.settings.Weightings;
 import org.bergamothoist.standin.Deployment;
-import org.bergamothoist.standin.EngineSettings;
-import org.bergamothoist.standin.PlatformSettings;
 import org.bergamothoist.standin.PlatformStandIn;
 import org.bergamothoist.standin.client.CallerSettings;
 import org.bergamothoist.standin.client.CallerTransport;
@@ -35,24 +27,12 @@
     /** Guards against parts that work alone, but not together over HTTP. */
     @Test
     void answersCompletionUnderAcceptedSheet() throws Exception {
-        ParsedSheet sheet =
-                SheetCsv.parse(Files.readAllBytes(Path.of("../deployments/brunner/sheet.csv")));
-        OrganisationEntry organisation = sheet.entries().get(0);
-        List<ModelKey> models =
-                sheet.entries().stream()
-                        .flatMap(entry -> entry.models().stream())
-                        .map(entitlement -> entitlement.key())
-                        .distinct()
-                        .toList();
+        ExampleDeployment example = ExampleDeployment.load(Deployment.BRUNNER);
+        OrganisationEntry organisation = example.sheet().get(0);
         InstantSource clock = InstantSource.system();
         PlatformStandIn platform =
-                PlatformStandIn.start(
-                        Deployment.BRUNNER,
-                        PlatformSettings.defaults(Deployment.BRUNNER.model())
-                                .with(EngineSettings.defaults(models)),
-                        clock);
-        try (LocalDeployment deployment =
-                        new LocalDeployment(platform, new Weightings(1, 0.5), 64, clock);
+                PlatformStandIn.start(example.sizes(), example.platform(1), clock);
+        try (LocalDeployment deployment = new LocalDeployment(platform, example);
                 CallerTransport transport = new CallerTransport(clock, 1)) {
             DaemonInstance first = deployment.startDaemon(0);
             DaemonInstance second = deployment.startDaemon(1);
@@ -60,7 +40,7 @@
             second.ready().toCompletableFuture().get(20, TimeUnit.SECONDS);
             SheetStatus submitted =
                     first.router()
-                            .submitSheet("biel", "operator", sheet.entries())
+                            .submitSheet("biel", "operator", example.sheet())
                             .toCompletableFuture()
                             .get(20, TimeUnit.SECONDS);
             assertThat(submitted.verdict().accepted()).isTrue();
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -33,6 +33,8 @@
 import org.bergamothoist.daemon.runtime.RouterGate;
 import org.bergamothoist.daemon.settings.DaemonSettings;
 import org.bergamothoist.daemon.settings.NetworkAddress;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -211,6 +213,26 @@
         return stopped.minimalCompletionStage();
     }
 
+    /**
+     * Ends the daemon at once, as the loss of its process would: connections break, and nothing is
+     * finished or announced.
+     */
+    public void kill() {
+        synchronized (this) {
+            if (stopped != null) {
+                return;
+            }
+            stopped = CompletableFuture.completedFuture(null);
+        }
+        for (Connector connector : server.getConnectors()) {
+            ((ServerConnector) connector).close();
+            connector.getConnectedEndPoints().forEach(EndPoint::close);
+        }
+        server.setStopTimeout(0);
+        injector.getInstance(ControlThread.class).close();
+        close();
+    }
+
     private synchronized boolean isStopping() {
         return stopped != null;
     }
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/AddressBook.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/AddressBook.java
@@ -1,6 +1,8 @@
 package org.bergamothoist.standin.client;
 
+import java.net.URLEncoder;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -10,44 +12,44 @@
 import org.bergamothoist.standin.internal.Json;
 
 /** The addresses that the router named, kept for the lifetime of its answer. */
-final class AddressBook {
+final class AddressBook implements AddressSource {
 
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
 
     private final CallerTransport transport;
-    private final String organisation;
-    private final List<String> knownAddresses;
+    private final CallerSettings settings;
+    private final String question;
     private final List<String> usable = new ArrayList<>();
     private Instant expiry = Instant.MIN;
     private int nextKnown;
     private CompletableFuture<Optional<String>> asking = CompletableFuture.completedFuture(null);
 
-    /**
-     * Creates an empty book.
-     *
-     * @param knownAddresses addresses to ask at first, as {@code host:port}
-     */
-    AddressBook(CallerTransport transport, String organisation, List<String> knownAddresses) {
+    /** Creates an empty book; the addresses that the caller knows are asked at first. */
+    AddressBook(CallerTransport transport, CallerSettings settings) {
         this.transport = transport;
-        this.organisation = organisation;
-        this.knownAddresses = List.copyOf(knownAddresses);
+        this.settings = settings;
+        this.question =
+                settings.affinity().isEmpty()
+                        ? "/v1/addresses"
+                        : "/v1/addresses?affinity="
+                                + URLEncoder.encode(settings.affinity(), StandardCharsets.UTF_8);
     }
 
-    /** Returns the best address, or nothing if no daemon answered with one. */
-    synchronized CompletableFuture<Optional<String>> address() {
+    @Override
+    public synchronized CompletableFuture<Optional<String>> address() {
         Optional<String> kept = kept();
         if (kept.isPresent()) {
             return CompletableFuture.completedFuture(kept);
         }
         // Requests that begin at the same time share one question.
         if (asking.isDone()) {
-            asking = ask(knownAddresses.size());
+            asking = ask(settings.knownAddresses().size());
         }
         return asking;
     }
 
-    /** Stops using an address until the next answer names it. */
-    synchronized void failed(String address) {
+    @Override
+    public synchronized void failed(String address) {
         usable.remove(address);
     }
 
@@ -63,7 +65,7 @@
         return transport
                 .client()
                 .sendAsync(
-                        CallerTransport.request(nextKnown(), "/v1/addresses", organisation)
+                        CallerTransport.request(nextKnown(), question, settings.organisation())
                                 .timeout(ANSWER_TIMEOUT)
                                 .build(),
                         HttpResponse.BodyHandlers.ofByteArray())
@@ -76,7 +78,8 @@
     }
 
     private synchronized String nextKnown() {
-        return knownAddresses.get(nextKnown++ % knownAddresses.size());
+        List<String> known = settings.knownAddresses();
+        return known.get(nextKnown++ % known.size());
     }
 
     private synchronized boolean keep(HttpResponse<byte[]> answer) {
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
@@ -18,7 +18,7 @@
 
     private final CallerTransport transport;
     private final CallerSettings settings;
-    private final AddressBook addresses;
+    private final AddressSource addresses;
     private final CompletionRequest request;
     private final StreamChecker checker;
     private final CompletableFuture<CompletionResult> result = new CompletableFuture<>();
@@ -34,7 +34,7 @@
     CompletionCall(
             CallerTransport transport,
             CallerSettings settings,
-            AddressBook addresses,
+            AddressSource addresses,
             CompletionRequest request) {
         this.transport = transport;
         this.settings = settings;
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/DemoWorkload.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/DemoWorkload.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import org.bergamothoist.core.sheet.ServiceEntitlement;
 import org.bergamothoist.standin.EngineCounters;
 import org.bergamothoist.standin.PlatformStandIn;
 
@@ -61,6 +62,16 @@
         return result.whenComplete((ignored, error) -> transport.close());
     }
 
+    /** Returns the number of requests sent so far. */
+    public int requests() {
+        return recorder.begun();
+    }
+
+    /** Returns how many streams callers resumed so far, in requests that have ended. */
+    public int resumes() {
+        return recorder.resumes();
+    }
+
     /** Sends no new requests; those that run get their outcome. */
     public void stop() {
         sending = false;
@@ -90,20 +101,25 @@
         if (!recorder.begin(settings.maximumConcurrent())) {
             return;
         }
-        if (draw.service()) {
-            serviceCaller(draw).call(booking(draw)).thenAccept(this::ended);
+        if (draw.service().isPresent()) {
+            serviceCaller(draw)
+                    .call(serviceRequest(draw, draw.service().get()))
+                    .thenAccept(this::ended);
             return;
         }
         CompletionRequest request =
-                CompletionRequest.of(settings.modelKey(), draw.prompt(), settings.maximumTokens());
+                CompletionRequest.of(
+                        draw.model().orElseThrow(), draw.prompt(), settings.maximumTokens());
         completionCaller(draw)
                 .complete(draw.booking() ? request.nonIdempotent() : request)
                 .thenAccept(this::ended);
     }
 
-    private ServiceRequest booking(WorkloadPlan.Draw draw) {
+    private static ServiceRequest serviceRequest(
+            WorkloadPlan.Draw draw, ServiceEntitlement service) {
         byte[] body = draw.prompt().getBytes(StandardCharsets.UTF_8);
-        return new ServiceRequest(settings.service(), "bookings", "POST", body, false);
+        String path = service.pathPrefix().substring(1);
+        return new ServiceRequest(service.service(), path, "POST", body, !draw.booking());
     }
 
     private void ended(CompletionResult completion) {
@@ -127,17 +143,17 @@
     private CompletionCaller completionCaller(WorkloadPlan.Draw draw) {
         return completionCallers.computeIfAbsent(
                 callerName(draw),
-                name -> new CompletionCaller(transport, caller(draw.organisation())));
+                name -> new CompletionCaller(transport, caller(draw.organisation(), name)));
     }
 
     private ServiceCaller serviceCaller(WorkloadPlan.Draw draw) {
         return serviceCallers.computeIfAbsent(
                 callerName(draw),
-                name -> new ServiceCaller(transport, caller(draw.organisation())));
+                name -> new ServiceCaller(transport, caller(draw.organisation(), name)));
     }
 
-    private CallerSettings caller(String organisation) {
-        return new CallerSettings(organisation, daemonAddresses, settings.patience());
+    private CallerSettings caller(String organisation, String name) {
+        return new CallerSettings(organisation, daemonAddresses, name, settings.patience());
     }
 
     private String callerName(WorkloadPlan.Draw draw) {
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/ExampleKeys.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/ExampleKeys.java
@@ -3,13 +3,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 
-/** The caller keys of the example sheets; for demonstrations and tests only. */
+/** The keys of the example sheets and settings; for demonstrations and tests only. */
 public final class ExampleKeys {
 
     private static final String SUFFIX = "-caller-key";
 
+    private static final String OPERATOR_SUFFIX = "-operator-key";
+
     private ExampleKeys() {}
 
+    /** Returns the key of an operator of the example settings. */
+    public static String operatorKey(String operator) {
+        return operator + OPERATOR_SUFFIX;
+    }
+
     /** Returns the key of an organisation: its name in base64, since header values are ASCII. */
     public static String callerKey(String organisation) {
         byte[] name = organisation.getBytes(StandardCharsets.UTF_8);
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/ServiceCaller.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/ServiceCaller.java
@@ -22,8 +22,7 @@
     public ServiceCaller(CallerTransport transport, CallerSettings settings) {
         this.transport = transport;
         this.settings = settings;
-        this.addresses =
-                new AddressBook(transport, settings.organisation(), settings.knownAddresses());
+        this.addresses = new AddressBook(transport, settings);
     }
 
     /**
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadPlan.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadPlan.java
@@ -2,8 +2,15 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.function.Predicate;
+import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.prompt.Prompt;
+import org.bergamothoist.core.sheet.Entitlement;
+import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.core.sheet.ServiceEntitlement;
 import org.bergamothoist.standin.GeneratedText;
 
 /**
@@ -23,27 +30,35 @@
 
     private final WorkloadSettings settings;
     private final Random random;
-    private final double[] cumulativeWeights;
+    private final int totalWeight;
+    private final double[] cumulativeShares;
     private int questions;
 
     /**
-     * A drawn request.
+     * A drawn request, either to a model or to a plain service.
      *
      * @param customer number of the customer; 0 is the very hot one
      * @param booking whether it must not be repeated
-     * @param service whether it goes to the plain service
      */
     record Draw(
-            String organisation, int customer, String prompt, boolean booking, boolean service) {}
+            String organisation,
+            int customer,
+            String prompt,
+            boolean booking,
+            Optional<ModelKey> model,
+            Optional<ServiceEntitlement> service) {}
 
     WorkloadPlan(WorkloadSettings settings) {
         this.settings = settings;
         this.random = new Random(settings.seed());
-        this.cumulativeWeights = new double[settings.customers()];
+        this.totalWeight =
+                settings.organisations().stream().mapToInt(entry -> entry.limits().weight()).sum();
+        this.cumulativeShares =
+                new double[Math.max(1, settings.customers() / settings.organisations().size())];
         double sum = 0;
-        for (int customer = 0; customer < settings.customers(); customer++) {
-            sum += 1.0 / (customer + 1);
-            cumulativeWeights[customer] = sum;
+        for (int rank = 0; rank < cumulativeShares.length; rank++) {
+            sum += 1.0 / (rank + 1);
+            cumulativeShares[rank] = sum;
         }
     }
 
@@ -54,21 +69,59 @@
     }
 
     Draw next() {
-        int customer = random.nextDouble() < HOT_SHARE ? 0 : customer(random.nextDouble());
-        String organisation =
-                settings.organisations().get(customer % settings.organisations().size());
-        String prompt = instruction(organisation) + history(customer) + question();
+        boolean hot = random.nextDouble() < HOT_SHARE;
+        int index = hot ? 0 : organisation(random.nextInt(totalWeight));
+        int rank = hot ? 0 : rank(random.nextDouble());
+        int customer = rank * settings.organisations().size() + index;
+        OrganisationEntry organisation = settings.organisations().get(index);
+        String name = organisation.organisation().value();
+        String prompt = instruction(name) + history(customer) + question();
         boolean booking = random.nextDouble() < settings.bookingShare();
-        boolean service = booking && random.nextBoolean();
-        return new Draw(organisation, customer, prompt, booking, service);
+        if (booking && random.nextBoolean() && !organisation.services().isEmpty()) {
+            ServiceEntitlement service = any(organisation.services());
+            return new Draw(
+                    name,
+                    customer,
+                    prompt,
+                    service.nonIdempotent(),
+                    Optional.empty(),
+                    Optional.of(service));
+        }
+        Entitlement model = model(organisation, booking);
+        boolean once = booking || model.nonIdempotent();
+        return new Draw(name, customer, prompt, once, Optional.of(model.key()), Optional.empty());
+    }
+
+    private int organisation(int position) {
+        int rest = position;
+        int index = 0;
+        while (rest >= weight(index)) {
+            rest -= weight(index++);
+        }
+        return index;
+    }
+
+    private int weight(int index) {
+        return settings.organisations().get(index).limits().weight();
     }
 
-    private int customer(double quantile) {
-        double weight = quantile * cumulativeWeights[cumulativeWeights.length - 1];
-        int index = Arrays.binarySearch(cumulativeWeights, weight);
+    private int rank(double quantile) {
+        double share = quantile * cumulativeShares[cumulativeShares.length - 1];
+        int index = Arrays.binarySearch(cumulativeShares, share);
         return index >= 0 ? index : -index - 1;
     }
 
+    /** Prefers models whose mark in the sheet fits; any other is better than none. */
+    private Entitlement model(OrganisationEntry organisation, boolean nonIdempotent) {
+        Predicate<Entitlement> fits = model -> model.nonIdempotent() == nonIdempotent;
+        List<Entitlement> fitting = organisation.models().stream().filter(fits).toList();
+        return any(fitting.isEmpty() ? organisation.models() : fitting);
+    }
+
+    private <T> T any(List<T> choices) {
+        return choices.get(random.nextInt(choices.size()));
+    }
+
     private String instruction(String organisation) {
         return text("instruction of " + organisation, INSTRUCTION_BLOCKS * blockCharacters());
     }
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadRecorder.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadRecorder.java
@@ -19,6 +19,7 @@
     private final List<CompletionResult> completions = new ArrayList<>();
     private final List<ServiceResult> services = new ArrayList<>();
     private int running;
+    private int begun;
     private int mostRunning;
     private int skipped;
 
@@ -29,6 +30,7 @@
             return false;
         }
         running++;
+        begun++;
         mostRunning = Math.max(mostRunning, running);
         return true;
     }
@@ -43,6 +45,14 @@
         services.add(result);
     }
 
+    synchronized int begun() {
+        return begun;
+    }
+
+    synchronized int resumes() {
+        return completions.stream().mapToInt(CompletionResult::resumes).sum();
+    }
+
     synchronized int running() {
         return running;
     }
@@ -52,14 +62,16 @@
         Map<String, Integer> codes = new HashMap<>();
         List<Violation> violations = new ArrayList<>();
         for (CompletionResult completion : completions) {
-            count(outcomes, codes, completion.outcome(), completion.code());
+            outcomes.merge(completion.outcome(), 1, Integer::sum);
+            completion.sendings().forEach(sending -> count(codes, sending));
             violations.addAll(completion.violations());
             violations.addAll(
                     ExecutionAudit.check(
                             completion.request().idempotent(), completion.sendings(), executions));
         }
         for (ServiceResult service : services) {
-            count(outcomes, codes, service.sending().outcome(), service.sending().code());
+            outcomes.merge(service.sending().outcome(), 1, Integer::sum);
+            count(codes, service.sending());
             violations.addAll(service.violations());
             violations.addAll(
                     ExecutionAudit.check(
@@ -75,17 +87,13 @@
                 percentiles(),
                 outcomes,
                 codes,
+                resumes(),
                 violations);
     }
 
-    private static void count(
-            Map<OutcomeKind, Integer> outcomes,
-            Map<String, Integer> codes,
-            OutcomeKind outcome,
-            String code) {
-        outcomes.merge(outcome, 1, Integer::sum);
-        if (!code.isEmpty()) {
-            codes.merge(code, 1, Integer::sum);
+    private static void count(Map<String, Integer> codes, Sending sending) {
+        if (!sending.code().isEmpty()) {
+            codes.merge(sending.code(), 1, Integer::sum);
         }
     }
 
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadResult.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadResult.java
@@ -16,7 +16,9 @@
  * @param counters what the engines counted during the workload
  * @param timeToFirstToken percentiles over all completions that got a piece
  * @param outcomes number of requests by final outcome
- * @param codes number of requests by the router's final code; answered ones have none
+ * @param codes number of the router's answers by code, including those after which callers tried
+ *     again
+ * @param resumes number of streams that callers resumed after a lost connection
  * @param violations broken promises
  */
 public record WorkloadResult(
@@ -27,6 +29,7 @@
         Percentiles timeToFirstToken,
         Map<OutcomeKind, Integer> outcomes,
         Map<String, Integer> codes,
+        int resumes,
         List<Violation> violations) {
 
     public WorkloadResult {
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadSettings.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/WorkloadSettings.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
-import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.sheet.OrganisationEntry;
 
 /**
  * Describes a workload.
  *
- * @param organisations organisations of the deployment's sheet
- * @param service group of plain services that bookings go to
+ * @param organisations organisations of the deployment's sheet; each sends requests in proportion
+ *     to its weight, to its own models and services
  * @param blockTokens tokens of a cache block, the same as the engines'
  * @param requestsPerSecond mean rate of new requests
  * @param duration time for which new requests are sent
@@ -20,9 +20,7 @@
  * @param seed seed of prompts, customers and times
  */
 public record WorkloadSettings(
-        List<String> organisations,
-        ModelKey modelKey,
-        String service,
+        List<OrganisationEntry> organisations,
         int blockTokens,
         double requestsPerSecond,
         Duration duration,
@@ -38,29 +36,15 @@
     }
 
     /** Returns a workload of 100 requests a second with blocks of 64 tokens. */
-    public static WorkloadSettings of(
-            List<String> organisations, ModelKey modelKey, String service, Duration duration) {
+    public static WorkloadSettings of(List<OrganisationEntry> organisations, Duration duration) {
         return new WorkloadSettings(
-                organisations,
-                modelKey,
-                service,
-                64,
-                100,
-                duration,
-                200,
-                0.1,
-                64,
-                2_000,
-                Duration.ofMinutes(1),
-                1);
+                organisations, 64, 100, duration, 200, 0.1, 64, 2_000, Duration.ofMinutes(1), 1);
     }
 
     /** Returns this workload at another rate and with another seed. */
     public WorkloadSettings with(double newRequestsPerSecond, long newSeed) {
         return new WorkloadSettings(
                 organisations,
-                modelKey,
-                service,
                 blockTokens,
                 newRequestsPerSecond,
                 duration,
@@ -76,8 +60,6 @@
     public WorkloadSettings withAnswers(int newMaximumTokens, Duration newPatience) {
         return new WorkloadSettings(
                 organisations,
-                modelKey,
-                service,
                 blockTokens,
                 requestsPerSecond,
                 duration,
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/CompletionCallerTest.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/CompletionCallerTest.java
@@ -143,7 +143,7 @@
     private CompletionResult complete(CompletionRequest request) {
         CallerSettings settings =
                 new CallerSettings(
-                        "org", List.of("127.0.0.1:" + first.port()), Duration.ofMinutes(1));
+                        "org", List.of("127.0.0.1:" + first.port()), "", Duration.ofMinutes(1));
         return new CompletionCaller(transport, settings).complete(request).join();
     }
 
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/DemoWorkloadTest.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/client/DemoWorkloadTest.java
@@ -7,6 +7,11 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.sheet.Entitlement;
+import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.core.sheet.OrganisationLimits;
+import org.bergamothoist.core.sheet.ServiceEntitlement;
 import org.bergamothoist.standin.Deployment;
 import org.bergamothoist.standin.EngineSettings;
 import org.bergamothoist.standin.PlatformSettings;
@@ -95,7 +100,10 @@
         assertThat(draws.stream().filter(draw -> draw.organisation().equals("org-1")))
                 .allMatch(draw -> draw.prompt().startsWith(prefix.substring(0, instructionEnd)))
                 .anyMatch(draw -> !draw.prompt().startsWith(prefix));
-        assertThat(draws).anyMatch(WorkloadPlan.Draw::service).anyMatch(draw -> !draw.booking());
+        assertThat(draws)
+                .anyMatch(draw -> draw.service().isPresent())
+                .anyMatch(draw -> draw.booking() && draw.model().isPresent())
+                .anyMatch(draw -> !draw.booking());
     }
 
     private static List<WorkloadPlan.Draw> draws(long seed) {
@@ -119,10 +127,17 @@
 
     private static WorkloadSettings settings(double rate, Duration duration) {
         return WorkloadSettings.of(
-                        List.of("org-1", "org-2", "org-3"),
-                        DEPLOYMENT.model(),
-                        DEPLOYMENT.serviceGroup(),
-                        duration)
+                        List.of(entry("org-1"), entry("org-2"), entry("org-3")), duration)
                 .with(rate, 1);
     }
+
+    private static OrganisationEntry entry(String name) {
+        return new OrganisationEntry(
+                new OrganisationId(name),
+                0,
+                "0".repeat(64),
+                List.of(new Entitlement(DEPLOYMENT.model(), false)),
+                List.of(new ServiceEntitlement(DEPLOYMENT.serviceGroup(), "/bookings", true)),
+                new OrganisationLimits(1_000, 1_000, 1));
+    }
 }
