--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -1,9 +1,7 @@
 package org.bergamothoist.core.node;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,9 +21,8 @@
 import org.bergamothoist.core.placement.PlacementPolicy;
 import org.bergamothoist.core.placement.PlacementRequest;
 import org.bergamothoist.core.placement.PlacementView;
-import org.bergamothoist.core.platform.BlockTransfer;
+import org.bergamothoist.core.placement.ReplicaController;
 import org.bergamothoist.core.platform.EngineAnswerStart;
-import org.bergamothoist.core.platform.EngineClient;
 import org.bergamothoist.core.platform.Target;
 import org.bergamothoist.core.platform.TargetFailure;
 import org.bergamothoist.core.request.CompletionExchange;
@@ -43,10 +40,10 @@
     private final LoadView load;
     private final TargetDirectory directory;
     private final EngineReports reports;
-    private final EngineClient engineClient;
+    private final ReplicaController replicas;
     private final NodeMetrics metrics;
     private final Timeline timeline;
-    private final Map<CompletionExchange, OutstandingPrompt> outstanding = new HashMap<>();
+    private final Map<PromptAtTarget, OutstandingPrompt> outstanding = new HashMap<>();
     private Predicate<TargetId> runsSuspect = target -> false;
     private AdmissionController admission;
 
@@ -56,14 +53,14 @@
             LoadView load,
             TargetDirectory directory,
             EngineReports reports,
-            EngineClient engineClient,
+            ReplicaController replicas,
             Reporting reporting) {
         this.policy = policy;
         this.index = index;
         this.load = load;
         this.directory = directory;
         this.reports = reports;
-        this.engineClient = engineClient;
+        this.replicas = replicas;
         this.metrics = reporting.metrics();
         this.timeline = reporting.timeline();
     }
@@ -71,6 +68,9 @@
     /** Where decisions are reported to. */
     record Reporting(NodeMetrics metrics, Timeline timeline) {}
 
+    /** A completion has one prompt at each engine that it was sent to. */
+    private record PromptAtTarget(CompletionExchange exchange, TargetId target) {}
+
     private static final class OutstandingPrompt {
         private final TargetId target;
         private final int uncachedTokens;
@@ -156,31 +156,23 @@
     public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
         TargetId target = choice.target().id();
         directory.beforeDispatch(target);
+        replicas.onRouted(exchange.organisationId(), exchange.modelKey(), exchange.chain());
         if (choice.importReplica()) {
-            requestReplica(exchange, choice);
+            replicas.replicate(
+                    exchange.organisationId(),
+                    exchange.modelKey(),
+                    exchange.chain(),
+                    choice.target());
         }
         int uncached = exchange.chain().uncachedTokens(choice.predictedCachedBlocks());
         int predicted = choice.predictedCachedBlocks() * exchange.chain().blockTokens();
-        outstanding.put(exchange, new OutstandingPrompt(target, uncached, predicted));
+        outstanding.put(
+                new PromptAtTarget(exchange, target),
+                new OutstandingPrompt(target, uncached, predicted));
         load.dispatched(target, uncached);
         index.onDispatch(target, exchange.chain());
     }
 
-    private void requestReplica(CompletionExchange exchange, EngineChoice choice) {
-        List<Long> blocks = new ArrayList<>();
-        for (int block = 0; block < exchange.chain().length(); block++) {
-            blocks.add(exchange.chain().hash(block));
-        }
-        timeline.record(
-                EventKind.REPLICA_REQUESTED,
-                choice.target().id().toString(),
-                blocks.size() + " blocks");
-        engineClient.transferBlocks(
-                choice.target(),
-                exchange.organisationId(),
-                new BlockTransfer(BlockTransfer.Direction.IMPORT, exchange.modelKey(), blocks));
-    }
-
     @Override
     public void onAnswerStarted(
             CompletionExchange exchange, Target target, EngineAnswerStart start) {
@@ -189,7 +181,7 @@
             return;
         }
         index.onAnswer(target.id(), start.incarnation(), exchange.chain(), start.cachedTokens());
-        OutstandingPrompt prompt = outstanding.get(exchange);
+        OutstandingPrompt prompt = outstanding.get(new PromptAtTarget(exchange, target.id()));
         long predicted = prompt == null ? 0 : prompt.predictedTokens;
         metrics.answerStarted(start.promptTokens(), start.cachedTokens(), predicted);
     }
@@ -198,8 +190,8 @@
     public void onFirstPiece(CompletionExchange exchange, Target target, Duration sinceDispatch) {
         metrics.firstToken(sinceDispatch);
         admission.onFirstToken(sinceDispatch);
-        OutstandingPrompt prompt = outstanding.get(exchange);
-        if (prompt != null && prompt.target.equals(target.id()) && !prompt.firstPieceSeen) {
+        OutstandingPrompt prompt = outstanding.get(new PromptAtTarget(exchange, target.id()));
+        if (prompt != null && !prompt.firstPieceSeen) {
             prompt.firstPieceSeen = true;
             load.promptFinished(target.id(), prompt.uncachedTokens);
             admission.pump();
@@ -208,7 +200,7 @@
 
     @Override
     public void onEnded(CompletionExchange exchange, Target target) {
-        OutstandingPrompt prompt = outstanding.remove(exchange);
+        OutstandingPrompt prompt = outstanding.remove(new PromptAtTarget(exchange, target.id()));
         if (prompt == null) {
             return;
         }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.core.node;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -22,6 +23,7 @@
 import org.bergamothoist.core.limit.AdmissionController;
 import org.bergamothoist.core.limit.AdmissionLimits;
 import org.bergamothoist.core.limit.AdmissionSettings;
+import org.bergamothoist.core.limit.HedgePolicy;
 import org.bergamothoist.core.limit.RetryBudget;
 import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
 import org.bergamothoist.core.node.NodeStatus.Configuration;
@@ -40,6 +42,9 @@
 /** The way of requests through filters to targets. Confined to the control thread. */
 final class RequestPath {
 
+    /** Below this delay a second attempt would mostly duplicate work that is about to end. */
+    private static final Duration MINIMUM_HEDGE_DELAY = Duration.ofMillis(500);
+
     private final NodeSettings settings;
     private final NodeAdapters adapters;
     private final RouterNode.Environment environment;
@@ -81,14 +86,12 @@
                         environment.clock());
         this.placement =
                 new CompletionPlacement(
-                        new PrefixAwarePolicy(
-                                PlacementSettings.standard(settings.weights()),
-                                environment.random()),
+                        new PrefixAwarePolicy(placementSettings(settings), environment.random()),
                         targets.index(),
                         targets.load(),
                         targets.directory(),
                         targets.reports(),
-                        adapters.engines(),
+                        targets.replicas(),
                         new CompletionPlacement.Reporting(metrics, environment.timeline()));
         ResumeTokenCodec tokenCodec = new ResumeTokenCodec(settings.deploymentKey());
         this.completionDispatcher = createCompletionDispatcher(tokenCodec);
@@ -107,6 +110,18 @@
             AdmissionLimits limits,
             QuarantineController.SuspicionPublisher publisher) {}
 
+    private static PlacementSettings placementSettings(NodeSettings settings) {
+        PlacementSettings standard = PlacementSettings.standard(settings.weights());
+        return new PlacementSettings(
+                standard.weights(),
+                standard.holders(),
+                standard.homes(),
+                standard.maximumHomes(),
+                standard.randomTargets(),
+                standard.maximumQueueingDelay(),
+                settings.importTokensPerSecond());
+    }
+
     private int lossesInLog(Fingerprint fingerprint) {
         return log.state().suspicion(fingerprint).map(Suspicion::losses).orElse(0);
     }
@@ -120,6 +135,8 @@
                         new EngineLossDetector(adapters.engines(), environment.scheduler()),
                         quarantine,
                         retryBudget::tryTake,
+                        new HedgePolicy(
+                                HedgePolicy.STANDARD_QUANTILE, MINIMUM_HEDGE_DELAY, retryBudget),
                         placement,
                         tokenCodec,
                         environment.scheduler(),
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/AddressBookTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/AddressBookTest.java
@@ -4,10 +4,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
@@ -16,53 +18,102 @@
 class AddressBookTest {
 
     private final List<RosterMember> serving =
-            new ArrayList<>(IntStream.range(0, 6).mapToObj(AddressBookTest::member).toList());
-    private final AddressBook book =
-            new AddressBook(() -> serving, "biel-a", Duration.ofSeconds(5));
+            new ArrayList<>(IntStream.range(0, 12).mapToObj(AddressBookTest::member).toList());
+    private final AddressBook book = new AddressBook(() -> serving, "dc-0", Duration.ofSeconds(5));
+
+    /** Guards against far daemons before near ones, and against herds at the first address. */
+    @Test
+    void nearDaemonsComeFirstAndAnswersAreSpread() {
+        Map<String, Integer> firsts = new TreeMap<>();
+        for (int call = 0; call < 40; call++) {
+            AddressAnswer answer = book.answer(Optional.of("dc-1"), Optional.empty());
+            assertThat(answer.addresses()).hasSize(AddressBook.MAXIMUM_ADDRESSES);
+            assertThat(answer.addresses().subList(0, 4))
+                    .allSatisfy(address -> assertThat(address.dataCentre()).isEqualTo("dc-1"));
+            assertThat(answer.lifetime()).isEqualTo(Duration.ofSeconds(5));
+            firsts.merge(answer.addresses().get(0).address(), 1, Integer::sum);
+        }
+        assertThat(firsts).hasSize(4);
+        assertThat(firsts.values()).containsOnly(10);
+    }
+
+    /** Guards against callers that are sent to a daemon that has left or crashed. */
+    @Test
+    void daemonThatNoLongerServesIsNotNamed() {
+        RosterMember gone = serving.remove(3);
+        for (int call = 0; call < 30; call++) {
+            assertThat(book.answer(Optional.of("dc-0"), Optional.of("clinic")).addresses())
+                    .extracting(AddressAnswer.Address::address)
+                    .doesNotContain(gone.callerAddress())
+                    .doesNotHaveDuplicates();
+        }
+    }
+
+    /** Guards against related callers that are spread over all daemons. */
+    @Test
+    void callersWithTheSameAffinityShareAFewDaemonsInAnyDataCentre() {
+        assertThat(affineDaemons("clinic-7")).hasSize(3);
+        Set<String> used = new HashSet<>();
+        for (int text = 0; text < 100; text++) {
+            used.addAll(affineDaemons("clinic-" + text));
+        }
+        assertThat(used).as("affinities are spread").hasSize(12);
+    }
 
     /** Guards against callers that change daemons with each answer, faster than shares follow. */
     @Test
-    void answersTheSameDaemonToTheSameAffinity() {
-        String first = first(Optional.of("customer 7"));
-        assertThat(IntStream.range(0, 20).mapToObj(ignored -> first(Optional.of("customer 7"))))
-                .containsOnly(first);
-        serving.removeIf(member -> !member.callerAddress().equals(first));
-        assertThat(first(Optional.of("customer 7"))).isEqualTo(first);
+    void theSameAffinityGetsTheSameDaemonFirst() {
+        Set<String> first = new HashSet<>();
+        for (int call = 0; call < 6; call++) {
+            AddressAnswer answer = book.answer(Optional.empty(), Optional.of("clinic-7"));
+            first.add(answer.addresses().get(0).address());
+        }
+        assertThat(first).hasSize(1);
     }
 
-    /** Guards against affinities that all meet on one daemon. */
+    /** Guards against moving every caller when one daemon leaves. */
     @Test
-    void spreadsAffinitiesOverAllDaemons() {
-        Set<String> used =
-                IntStream.range(0, 100)
-                        .mapToObj(customer -> first(Optional.of("customer " + customer)))
-                        .collect(Collectors.toSet());
-        assertThat(used).hasSize(6);
+    void lossOfADaemonMovesOnlyItsOwnAffinities() {
+        Set<String> before = affineDaemons("clinic-7");
+        serving.removeIf(member -> !before.contains(member.callerAddress()) && isEven(member));
+        assertThat(affineDaemons("clinic-7")).isEqualTo(before);
+        String lost = before.iterator().next();
+        serving.removeIf(member -> member.callerAddress().equals(lost));
+        Set<String> after = affineDaemons("clinic-7");
+        before.remove(lost);
+        assertThat(after).hasSize(3).containsAll(before);
     }
 
-    /** Guards against callers without affinity that all use one daemon. */
+    /** Guards against failures when no daemon is known. */
     @Test
-    void spreadsCallersWithoutAffinity() {
-        Set<String> used =
-                IntStream.range(0, 4)
-                        .mapToObj(ignored -> first(Optional.empty()))
-                        .collect(Collectors.toSet());
-        assertThat(used).hasSize(2);
+    void answerIsEmptyIfNoDaemonServes() {
+        serving.clear();
+        assertThat(book.answer(Optional.empty(), Optional.of("clinic")).addresses()).isEmpty();
+    }
+
+    private Set<String> affineDaemons(String affinity) {
+        Set<String> daemons = new HashSet<>();
+        for (int call = 0; call < 6; call++) {
+            Optional<String> dataCentre = Optional.of("dc-" + call % 3);
+            book.answer(dataCentre, Optional.of(affinity)).addresses().stream()
+                    .limit(3)
+                    .forEach(address -> daemons.add(address.address()));
+        }
+        return daemons;
     }
 
-    private String first(Optional<String> affinity) {
-        return book.answer(Optional.empty(), affinity).addresses().get(0).address();
+    private static boolean isEven(RosterMember member) {
+        return member.joinOffset() % 2 == 0;
     }
 
-    private static RosterMember member(int index) {
-        String dataCentre = index < 2 ? "biel-a" : "bern-b";
+    private static RosterMember member(int number) {
         return new RosterMember(
-                new DaemonId("entry-" + index, 1),
-                "vm-" + index,
-                "127.0.0.1:" + (9_000 + index),
-                "127.0.0.1:" + (8_000 + index),
-                dataCentre,
-                index + 1,
-                6);
+                new DaemonId("entry-" + number, 1),
+                "vm-" + number,
+                "10.0.0.1:" + number,
+                "10.0.0.2:" + number,
+                "dc-" + number % 3,
+                number + 1L,
+                1);
     }
 }
