--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/AddressBookTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/AddressBookTest.java
@@ -60,6 +60,17 @@
         assertThat(used).as("affinities are spread").hasSize(12);
     }
 
+    /** Guards against callers that change daemons with each answer, faster than shares follow. */
+    @Test
+    void theSameAffinityGetsTheSameDaemonFirst() {
+        Set<String> first = new HashSet<>();
+        for (int call = 0; call < 6; call++) {
+            AddressAnswer answer = book.answer(Optional.empty(), Optional.of("clinic-7"));
+            first.add(answer.addresses().get(0).address());
+        }
+        assertThat(first).hasSize(1);
+    }
+
     /** Guards against moving every caller when one daemon leaves. */
     @Test
     void lossOfADaemonMovesOnlyItsOwnAffinities() {
