Save up one second of an organisation's whole limit on each daemon

Cause: a daemon's share of a small limit is below one request a second (2/s over 6 daemons: 0.33/s), and it saved up only one second of that share, so that two calls within 3 s were refused far below the limit. Ruled out: queueing until the rate allows (it would hide the refusal behind seconds of waiting). Change: the bucket holds one second of the whole limit and refills at the share.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/AdmissionController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/AdmissionController.java
@@ -264,10 +264,16 @@
         return (double) queue.size() / Math.max(1, limits.limits(queue.organisation()).weight());
     }
 
+    /**
+     * Refills at this daemon's share, but saves up a second of the organisation's whole limit: a
+     * share of a small limit is below one request a second, and callers do not arrive evenly. Over
+     * a time T all n daemons together accept at most T + n seconds' worth of the limit.
+     */
     private boolean takeRate(
             OrganisationId organisation, OrganisationLimits organisationLimits, Instant now) {
-        double rate = organisationLimits.requestsPerSecond() * limits.share(organisation);
-        return use(organisation, now).bucket.tryTake(rate, Math.max(1, rate), now);
+        int limit = organisationLimits.requestsPerSecond();
+        double rate = limit * limits.share(organisation);
+        return use(organisation, now).bucket.tryTake(rate, Math.max(1, limit), now);
     }
 
     private boolean atConcurrencyLimit(OrganisationId organisation) {
