--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/RandomisedCheck.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/RandomisedCheck.java
@@ -33,6 +33,20 @@
             int runs,
             Supplier<Interposition> interpositions,
             ProgressListener listener) {
+        return run(seed, runs, interpositions, listener, true);
+    }
+
+    /** Executes one run and gives violations the trace of the run itself, not of a shorter one. */
+    static CheckReport runOnce(long seed, Supplier<Interposition> interpositions) {
+        return run(seed, 1, interpositions, (completed, violations) -> {}, false);
+    }
+
+    private static CheckReport run(
+            long seed,
+            int runs,
+            Supplier<Interposition> interpositions,
+            ProgressListener listener,
+            boolean shrinks) {
         SortedMap<String, Long> counts = new TreeMap<>();
         List<Violation> violations = new ArrayList<>();
         long steps = 0;
@@ -44,7 +58,8 @@
             steps += log.steps();
             digest = digest * DIGEST_FACTOR + log.digest();
             for (Violation violation : log.violations()) {
-                violations.add(PlanShrinker.shrink(plan, violation, interpositions));
+                violations.add(
+                        shrinks ? PlanShrinker.shrink(plan, violation, interpositions) : violation);
             }
             listener.onRun(run + 1, violations.size());
         }
--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/World.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/World.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.identity.OrganisationId;
@@ -253,6 +254,10 @@
     }
 
     private void judge(CompletionLife life) {
+        if (OpenSending.code(life.firstOutcome()) == ErrorCode.LIMIT_EXCEEDED) {
+            // The rate limit refused it before it could be in a batch.
+            return;
+        }
         log.check(
                 Property.CRASHING_CONTENT,
                 life.firstOutcome() instanceof Outcome.Answered,
