--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/mutation/HastyStop.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/mutation/HastyStop.java
@@ -24,6 +24,7 @@
                 Duration.ZERO,
                 settings.modelsPerEngine(),
                 settings.prefillTokensPerSecond(),
+                settings.importTokensPerSecond(),
                 settings.ordersEnabled(),
                 settings.dispatch());
     }
