Read sheets without a daemon in the sheet commands

Cause: sheet check and sheet difference asked the daemon's whole set of parts for the parser, which needs a daemon's identity, so both ended with a stack trace; the tests used parts of their own. Change: the parser and printer are a module without dependencies; a test runs the command with the production parts. Before: stack trace, exit code 1. Conclusion: a command needs one test with the real parts.

--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.bergamothoist.daemon.ProductionModule;
+import org.bergamothoist.daemon.SheetModule;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IFactory;
@@ -35,17 +36,21 @@
 
     /** Runs the command named by the arguments and exits with its code. */
     public static void main(String[] arguments) {
-        System.exit(commandLine(ProductionModule::new, System.getenv()).execute(arguments));
+        System.exit(
+                commandLine(ProductionModule::new, new SheetModule(), System.getenv())
+                        .execute(arguments));
     }
 
     /**
      * Creates the command line.
      *
      * @param parts supplies the parts of daemons that {@code serve} starts
+     * @param sheetParts binds what reads sheets without a daemon
      * @param environment environment variables
      */
-    public static CommandLine commandLine(Supplier<Module> parts, Map<String, String> environment) {
-        IFactory factory = new CommandFactory(parts, environment);
+    public static CommandLine commandLine(
+            Supplier<Module> parts, Module sheetParts, Map<String, String> environment) {
+        IFactory factory = new CommandFactory(parts, sheetParts, environment);
         return new CommandLine(new BergamothoistCommand(), factory)
                 .setCaseInsensitiveEnumValuesAllowed(true)
                 .setOut(new PrintWriter(System.out, true))
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
@@ -14,11 +14,13 @@
 final class CommandFactory implements IFactory {
 
     private final Supplier<Module> parts;
+    private final Module sheetParts;
     private final Map<String, String> environment;
     private final IFactory defaults = CommandLine.defaultFactory();
 
-    CommandFactory(Supplier<Module> parts, Map<String, String> environment) {
+    CommandFactory(Supplier<Module> parts, Module sheetParts, Map<String, String> environment) {
         this.parts = parts;
+        this.sheetParts = sheetParts;
         this.environment = environment;
     }
 
@@ -41,6 +43,6 @@
 
     /** Looks the parser up when it is used, since other commands must work without it. */
     private List<OrganisationEntry> parse(String csv) {
-        return Guice.createInjector(parts.get()).getInstance(SheetParser.class).parse(csv);
+        return Guice.createInjector(sheetParts).getInstance(SheetParser.class).parse(csv);
     }
 }
--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
@@ -17,6 +17,8 @@
 import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.sheet.OrganisationEntry;
 import org.bergamothoist.core.sheet.OrganisationLimits;
+import org.bergamothoist.daemon.ProductionModule;
+import org.bergamothoist.daemon.SheetModule;
 import org.bergamothoist.daemon.operator.SheetFault;
 import org.bergamothoist.daemon.operator.SheetFaultsException;
 import org.bergamothoist.daemon.operator.SheetParser;
@@ -102,13 +104,29 @@
     }
 
     private int run(String... arguments) {
-        CommandLine commandLine = BergamothoistCommand.commandLine(Parts::new, Map.of());
+        CommandLine commandLine =
+                BergamothoistCommand.commandLine(Parts::new, new Parts(), Map.of());
         return commandLine
                 .setOut(new PrintWriter(out, true))
                 .setErr(new PrintWriter(err, true))
                 .execute(arguments);
     }
 
+    /** Guards against parts that only a daemon has: the real parser must work without one. */
+    @Test
+    void productionPartsReportEveryFaultOfASheet() throws Exception {
+        String sheet =
+                "organisation,base_version,key_digest,kind,model,adapter,version,service,path_prefix,non_idempotent,requests_per_second,concurrent_streams,weight\n"
+                    + "atelier,0,short,model,m,,v1,,,maybe,10,10,1\n";
+        int code =
+                BergamothoistCommand.commandLine(ProductionModule::new, new SheetModule(), Map.of())
+                        .setOut(new PrintWriter(out, true))
+                        .setErr(new PrintWriter(err, true))
+                        .execute("sheet", "check", file(sheet));
+        assertThat(code).isEqualTo(1);
+        assertThat(out.toString() + err).contains("row 2", "key_digest", "non_idempotent");
+    }
+
     private String file(String text) throws Exception {
         Path file = directory.resolve("file");
         Files.writeString(file, text);
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
@@ -4,7 +4,6 @@
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
-import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import org.bergamothoist.core.dispatch.DispatchSettings;
@@ -14,15 +13,9 @@
 import org.bergamothoist.core.node.NodeSettings;
 import org.bergamothoist.core.node.RouterNode;
 import org.bergamothoist.core.placement.PlacementWeights;
-import org.bergamothoist.core.sheet.ParsedSheet;
-import org.bergamothoist.core.sheet.SheetCsv;
 import org.bergamothoist.core.timeline.BoundedTimeline;
 import org.bergamothoist.core.timeline.Timeline;
 import org.bergamothoist.daemon.adapter.LogRecordCodec;
-import org.bergamothoist.daemon.operator.SheetFault;
-import org.bergamothoist.daemon.operator.SheetFaultsException;
-import org.bergamothoist.daemon.operator.SheetParser;
-import org.bergamothoist.daemon.operator.SheetPrinter;
 import org.bergamothoist.daemon.settings.DaemonSettings;
 import org.bergamothoist.protocol.NettyPeerNetwork;
 import org.bergamothoist.protocol.PeerNetworkSettings;
@@ -45,6 +38,11 @@
 
     private static final int MAXIMUM_GENERATED_TOKENS = 32_768;
 
+    @Override
+    protected void configure() {
+        install(new SheetModule());
+    }
+
     @Provides
     @Singleton
     Timeline timeline(DaemonId daemon, InstantSource clock) {
@@ -131,28 +129,4 @@
             }
         };
     }
-
-    @Provides
-    SheetParser sheetParser() {
-        return csv -> {
-            ParsedSheet sheet = SheetCsv.parse(csv.getBytes(StandardCharsets.UTF_8));
-            if (!sheet.isValid()) {
-                throw new SheetFaultsException(
-                        sheet.faults().stream()
-                                .map(
-                                        fault ->
-                                                new SheetFault(
-                                                        fault.row(),
-                                                        fault.column(),
-                                                        fault.reason()))
-                                .toList());
-            }
-            return sheet.entries();
-        };
-    }
-
-    @Provides
-    SheetPrinter sheetPrinter() {
-        return SheetCsv::write;
-    }
 }
