--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
@@ -115,9 +115,23 @@
     /** Guards against parts that only a daemon has: the real parser must work without one. */
     @Test
     void productionPartsReportEveryFaultOfASheet() throws Exception {
-        String sheet =
-                "organisation,base_version,key_digest,kind,model,adapter,version,service,path_prefix,non_idempotent,requests_per_second,concurrent_streams,weight\n"
-                    + "atelier,0,short,model,m,,v1,,,maybe,10,10,1\n";
+        List<String> header =
+                List.of(
+                        "organisation",
+                        "base_version",
+                        "key_digest",
+                        "kind",
+                        "model",
+                        "adapter",
+                        "version",
+                        "service",
+                        "path_prefix",
+                        "non_idempotent",
+                        "requests_per_second",
+                        "concurrent_streams",
+                        "weight");
+        String row = "atelier,0,short,model,m,,v1,,,maybe,10,10,1";
+        String sheet = String.join(",", header) + "\n" + row + "\n";
         int code =
                 BergamothoistCommand.commandLine(ProductionModule::new, new SheetModule(), Map.of())
                         .setOut(new PrintWriter(out, true))
