Keep suspects of different daemons off the same engine

Cause: suspects were kept apart within a daemon only. Change: a daemon reserves the engine of a suspect by a lease in the log ("suspects/<target>", 15 s) and waits while another daemon has it. Without the log, suspects are sent without a reservation.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -3,16 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.bergamothoist.core.error.ErrorCode;
-import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.platform.EngineAnswerStart;
 import org.bergamothoist.core.platform.EngineCall;
@@ -44,12 +40,13 @@
     private final Parts parts;
     private final DispatchSettings settings;
     private final Set<RunningCompletion> running = new LinkedHashSet<>();
-    private final Map<TargetId, Integer> suspectsByTarget = new HashMap<>();
+    private final SuspectIsolation isolation;
 
     /** Creates a dispatcher. */
     public CompletionDispatcher(Parts parts, DispatchSettings settings) {
         this.parts = parts;
         this.settings = settings;
+        this.isolation = new SuspectIsolation(parts.reservation());
     }
 
     /** What the dispatcher works with. */
@@ -59,6 +56,7 @@
             TargetLookup targets,
             EngineLossDetector lossDetector,
             QuarantineController quarantine,
+            EngineReservation reservation,
             RetryPermit retryPermit,
             DispatchObserver observer,
             ResumeTokenCodec tokenCodec,
@@ -86,19 +84,9 @@
         dispatch(completion);
     }
 
-    /** Returns the engines that run a suspect request of this daemon. */
+    /** Returns whether an engine runs, or is reserved for, a suspect request of any daemon. */
     public boolean runsSuspect(TargetId target) {
-        return suspectsByTarget.getOrDefault(target, 0) > 0;
-    }
-
-    /** Returns a running completion. */
-    public Optional<CompletionExchange> find(RequestId id) {
-        return running().stream().filter(exchange -> exchange.id().equals(id)).findFirst();
-    }
-
-    /** Returns all running completions. */
-    public Collection<CompletionExchange> running() {
-        return running.stream().map(RunningCompletion::exchange).toList();
+        return isolation.runsSuspect(target);
     }
 
     private void dispatch(RunningCompletion completion) {
@@ -121,7 +109,24 @@
             waitForEngine(completion);
             return;
         }
-        send(completion, choice.get(), suspect);
+        if (suspect) {
+            isolation
+                    .occupy(completion, choice.get().target().id())
+                    .thenAccept(granted -> reserved(completion, choice.get(), granted));
+        } else {
+            send(completion, choice.get());
+        }
+    }
+
+    private void reserved(RunningCompletion completion, EngineChoice choice, boolean granted) {
+        if (completion.exchange().finished()) {
+            isolation.freeUnused(choice.target().id());
+        } else if (granted) {
+            send(completion, choice);
+        } else {
+            isolation.free(completion);
+            parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
+        }
     }
 
     private boolean deadlinePassed(CompletionExchange exchange) {
@@ -144,7 +149,7 @@
         parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
     }
 
-    private void send(RunningCompletion completion, EngineChoice choice, boolean suspect) {
+    private void send(RunningCompletion completion, EngineChoice choice) {
         CompletionExchange exchange = completion.exchange();
         int remaining = exchange.submission().maximumTokens() - exchange.relay().deliveredTokens();
         int number = exchange.relay().beginAttempt();
@@ -154,7 +159,7 @@
             exchange.finish(new Outcome.Answered());
             return;
         }
-        occupy(completion, choice, attempt, suspect);
+        occupy(completion, choice, attempt);
         EngineCall call =
                 new EngineCall(
                         choice.target(),
@@ -176,17 +181,9 @@
         return Long.toHexString(BlockHasher.seed(exchange.organisationId(), exchange.modelKey()));
     }
 
-    private void occupy(
-            RunningCompletion completion,
-            EngineChoice choice,
-            EngineAttempt attempt,
-            boolean suspect) {
+    private void occupy(RunningCompletion completion, EngineChoice choice, EngineAttempt attempt) {
         CompletionExchange exchange = completion.exchange();
         completion.begin(attempt);
-        if (suspect) {
-            suspectsByTarget.merge(choice.target().id(), 1, Integer::sum);
-            completion.suspectOn(choice.target().id());
-        }
         exchange.attemptStarted();
         parts.observer().onDispatched(exchange, choice);
         parts.timeline()
@@ -216,7 +213,7 @@
         EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0, false);
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
-        occupy(completion, choice, attempt, false);
+        occupy(completion, choice, attempt);
         parts.timeline()
                 .record(
                         EventKind.STREAM_RESUMED,
@@ -402,17 +399,13 @@
             return;
         }
         completion.end();
-        completion
-                .takeSuspectTarget()
-                .ifPresent(
-                        target ->
-                                suspectsByTarget.computeIfPresent(
-                                        target, (id, count) -> count == 1 ? null : count - 1));
+        isolation.free(completion);
         parts.observer().onEnded(completion.exchange(), attempt.target());
     }
 
     private void ended(RunningCompletion completion, Outcome outcome) {
         release(completion);
+        isolation.free(completion);
         running.remove(completion);
     }
 
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/LeasedEngineReservation.java
@@ -0,0 +1,71 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.dispatch.EngineReservation;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.identity.TargetId;
+import org.bergamothoist.core.log.LogRecord;
+import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
+import org.bergamothoist.core.order.LeaseLog;
+
+/**
+ * Reserves engines for suspects by leases in the log. While the log does not answer, suspects are
+ * sent without a reservation, since their callers would otherwise wait for the whole outage.
+ * Confined to the control thread.
+ */
+final class LeasedEngineReservation implements EngineReservation {
+
+    /** Longer than a suspect usually runs; the reservation of a dead daemon ends by itself. */
+    private static final Duration DURATION = Duration.ofSeconds(15);
+
+    private static final String RESOURCE_PREFIX = "suspects/";
+
+    private final DaemonId self;
+    private final LeaseLog log;
+    private final InstantSource clock;
+
+    LeasedEngineReservation(DaemonId self, LeaseLog log, InstantSource clock) {
+        this.self = self;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    private static String resource(TargetId target) {
+        return RESOURCE_PREFIX + target;
+    }
+
+    @Override
+    public boolean reservedByOther(TargetId target) {
+        return log.lease(resource(target))
+                .filter(lease -> !lease.holder().equals(self))
+                .filter(lease -> lease.expiresAt().isAfter(clock.instant()))
+                .isPresent();
+    }
+
+    @Override
+    public CompletionStage<Boolean> reserve(TargetId target) {
+        if (!log.current()) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return log.append(new LogRecord.LeaseRequest(resource(target), self, DURATION))
+                .handle((offset, failure) -> failure != null || own(target).isPresent());
+    }
+
+    private Optional<LeaseState> own(TargetId target) {
+        return log.lease(resource(target)).filter(lease -> lease.holder().equals(self));
+    }
+
+    @Override
+    public void release(TargetId target) {
+        own(target)
+                .ifPresent(
+                        lease ->
+                                log.append(
+                                        new LogRecord.LeaseRelease(
+                                                resource(target), self, lease.fencingNumber())));
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLeaseLog.java
@@ -0,0 +1,44 @@
+package org.bergamothoist.core.node;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.bergamothoist.core.log.LogRecord;
+import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
+import org.bergamothoist.core.node.NodeStatus.Configuration;
+import org.bergamothoist.core.order.LeaseLog;
+
+/** Leases in this daemon's view of the log. Confined to the control thread. */
+final class NodeLeaseLog implements LeaseLog {
+
+    private final SharedLog log;
+    private final Supplier<Configuration> configuration;
+    private final Duration deadline;
+
+    /**
+     * Creates a view.
+     *
+     * @param deadline time after which an append that was not confirmed fails
+     */
+    NodeLeaseLog(SharedLog log, Supplier<Configuration> configuration, Duration deadline) {
+        this.log = log;
+        this.configuration = configuration;
+        this.deadline = deadline;
+    }
+
+    @Override
+    public Optional<LeaseState> lease(String resource) {
+        return log.state().lease(resource);
+    }
+
+    @Override
+    public boolean current() {
+        return configuration.get() == Configuration.FRESH && log.tail().isReachable();
+    }
+
+    @Override
+    public CompletionStage<Long> append(LogRecord record) {
+        return log.appender().append(record, deadline);
+    }
+}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.bergamothoist.core.dispatch.CompletionDispatcher;
 import org.bergamothoist.core.dispatch.EngineLossDetector;
+import org.bergamothoist.core.dispatch.EngineReservation;
 import org.bergamothoist.core.dispatch.ServiceDispatcher;
 import org.bergamothoist.core.filter.AdmissionFilter;
 import org.bergamothoist.core.filter.AuthenticationFilter;
@@ -91,7 +92,7 @@
                         adapters.engines(),
                         new CompletionPlacement.Reporting(metrics, environment.timeline()));
         ResumeTokenCodec tokenCodec = new ResumeTokenCodec(settings.deploymentKey());
-        this.completionDispatcher = createCompletionDispatcher(tokenCodec);
+        this.completionDispatcher = createCompletionDispatcher(tokenCodec, gate.reservation());
         this.serviceDispatcher = createServiceDispatcher();
         this.intake = createIntake(tokenCodec, gate);
     }
@@ -105,13 +106,15 @@
             Supplier<Configuration> configuration,
             BooleanSupplier accepting,
             AdmissionLimits limits,
-            QuarantineController.SuspicionPublisher publisher) {}
+            QuarantineController.SuspicionPublisher publisher,
+            EngineReservation reservation) {}
 
     private int lossesInLog(Fingerprint fingerprint) {
         return log.state().suspicion(fingerprint).map(Suspicion::losses).orElse(0);
     }
 
-    private CompletionDispatcher createCompletionDispatcher(ResumeTokenCodec tokenCodec) {
+    private CompletionDispatcher createCompletionDispatcher(
+            ResumeTokenCodec tokenCodec, EngineReservation reservation) {
         return new CompletionDispatcher(
                 new CompletionDispatcher.Parts(
                         adapters.engines(),
@@ -119,6 +122,7 @@
                         id -> targets.directory().find(id).map(Map.Entry::getKey),
                         new EngineLossDetector(adapters.engines(), environment.scheduler()),
                         quarantine,
+                        reservation,
                         retryBudget::tryTake,
                         placement,
                         tokenCodec,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
@@ -23,13 +23,11 @@
 import org.bergamothoist.core.limit.OrganisationShare;
 import org.bergamothoist.core.log.FoldResult;
 import org.bergamothoist.core.log.LogRecord;
-import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
 import org.bergamothoist.core.membership.AddressAnswer;
 import org.bergamothoist.core.membership.AddressBook;
 import org.bergamothoist.core.membership.HeartbeatSource;
 import org.bergamothoist.core.membership.MembershipSettings;
 import org.bergamothoist.core.membership.PeerMembership;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.order.DesiredStatePlanner;
 import org.bergamothoist.core.order.LeaseController;
 import org.bergamothoist.core.order.LeaseLog;
@@ -69,6 +67,10 @@
     private static final Duration START_JITTER = Duration.ofMillis(200);
     private static final int SNAPSHOT_PEERS = 2;
     private static final Duration RECORD_DEADLINE = Duration.ofSeconds(10);
+
+    /** Longest time for which a suspect request waits for the reservation of its engine. */
+    private static final Duration RESERVATION_DEADLINE = Duration.ofSeconds(1);
+
     private static final String ORDERS_RESOURCE = "orders";
 
     private final NodeSettings settings;
@@ -118,7 +120,11 @@
                                 configuration::configuration,
                                 () -> lifecycle().accepting(),
                                 admissionLimits(),
-                                peerProtocol));
+                                peerProtocol,
+                                new LeasedEngineReservation(
+                                        settings.self(),
+                                        leaseLog(RESERVATION_DEADLINE),
+                                        environment.clock())));
         this.sheets =
                 new SheetController(
                         log.state(),
@@ -129,7 +135,7 @@
                 new LeaseController(
                         ORDERS_RESOURCE,
                         settings.self(),
-                        leaseLog(),
+                        leaseLog(RECORD_DEADLINE),
                         environment.clock(),
                         environment.timeline());
         this.orders = createOrders();
@@ -272,24 +278,8 @@
         };
     }
 
-    private LeaseLog leaseLog() {
-        return new LeaseLog() {
-            @Override
-            public Optional<LeaseState> lease(String resource) {
-                return log.state().lease(resource);
-            }
-
-            @Override
-            public boolean current() {
-                return configuration.configuration() == Configuration.FRESH
-                        && log.tail().isReachable();
-            }
-
-            @Override
-            public CompletionStage<Long> append(LogRecord record) {
-                return log.appender().append(record, RECORD_DEADLINE);
-            }
-        };
+    private LeaseLog leaseLog(Duration deadline) {
+        return new NodeLeaseLog(log, configuration::configuration, deadline);
     }
 
     /** Returns the demand for each model that a sheet names. */
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/CompletionDispatcherTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/CompletionDispatcherTest.java
@@ -167,6 +167,35 @@
         return lost;
     }
 
+    /**
+     * Guards against suspects of two daemons on one engine: the innocent one would be quarantined
+     * with the other.
+     */
+    @Test
+    void sendsSuspectOnlyToEnginesThatNoOtherDaemonHasReserved() {
+        DispatchFixture fixture = new DispatchFixture(2);
+        Caller caller = fixture.submit("question", true);
+        ScriptedEngineClient.Dispatch first = fixture.engines.last();
+        TargetId other = fixture.targets.get(1).id();
+        fixture.reservation.refused.add(other);
+        fixture.crash(first.call.target().id());
+        first.listener.onFailed(BROKEN);
+        fixture.settle();
+        assertThat(fixture.engines.last()).isSameAs(first);
+
+        fixture.reservation.refused.clear();
+        fixture.time.advance(Duration.ofSeconds(1));
+        ScriptedEngineClient.Dispatch second = fixture.engines.last();
+        assertThat(second.call.target().id()).isEqualTo(other);
+        assertThat(fixture.reservation.held).containsExactly(other);
+
+        fixture.answer(second, 0, 6);
+        second.listener.onCompleted();
+        fixture.settle();
+        assertThat(caller.outcome).isInstanceOf(Outcome.Answered.class);
+        assertThat(fixture.reservation.held).isEmpty();
+    }
+
     private static void completeInnocents(DispatchFixture fixture) {
         for (ScriptedEngineClient.Dispatch dispatch : List.copyOf(fixture.engines.dispatches)) {
             boolean runs = fixture.engines.running.containsKey(dispatch.call.target().id());
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -66,6 +66,7 @@
     final ResumeTokenCodec tokenCodec = new ResumeTokenCodec("key".getBytes());
     final CompletionDispatcher dispatcher;
     int retriesLeft = 100;
+    final FakeReservation reservation = new FakeReservation();
 
     DispatchFixture(int engineCount) {
         for (int number = 1; number <= engineCount; number++) {
@@ -83,6 +84,7 @@
                                 id -> targets.stream().filter(t -> t.id().equals(id)).findFirst(),
                                 detector,
                                 quarantine,
+                                reservation,
                                 () -> retriesLeft-- > 0,
                                 new SilentObserver(),
                                 tokenCodec,
--- a/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/RandomisedCheckTest.java
+++ b/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/RandomisedCheckTest.java
@@ -17,8 +17,7 @@
         List<Integer> progress = new ArrayList<>();
 
         CheckReport report =
-                RandomisedCheck.run(
-                        SEED, RUNS, (completed, violations) -> progress.add(completed));
+                RandomisedCheck.run(SEED, RUNS, (completed, violations) -> progress.add(completed));
 
         assertThat(report.violations()).isEmpty();
         assertThat(progress).hasSize(RUNS);
