Do not try a dead engine again before its next try is due

Cause: the engines that are ready for a model were worked out again only when a target's state changed. Change: the list is worked out again when a suspect target is tried or fails. Conclusion: tries of a failed target follow the directory's delays.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -17,6 +17,7 @@
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.limit.AdmissionController;
 import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.membership.TargetState;
 import org.bergamothoist.core.placement.EligibleTargets;
 import org.bergamothoist.core.placement.LoadView;
 import org.bergamothoist.core.placement.PlacementDecision;
@@ -156,6 +157,7 @@
     public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
         TargetId target = choice.target().id();
         directory.beforeDispatch(target);
+        forgetEligibleIfSuspect(target);
         if (choice.importReplica()) {
             requestReplica(exchange, choice);
         }
@@ -166,6 +168,18 @@
         index.onDispatch(target, exchange.chain());
     }
 
+    /** A target that failed is tried by one request at a time, at intervals. */
+    private void forgetEligibleIfSuspect(TargetId target) {
+        boolean suspect =
+                directory
+                        .find(target)
+                        .map(known -> known.getValue() == TargetState.SUSPECT)
+                        .orElse(false);
+        if (suspect) {
+            reports.targetsChanged();
+        }
+    }
+
     private void requestReplica(CompletionExchange exchange, EngineChoice choice) {
         List<Long> blocks = new ArrayList<>();
         for (int block = 0; block < exchange.chain().length(); block++) {
@@ -223,6 +237,7 @@
     public void onConnectionFailed(Target target) {
         directory.observeFailure(target.id(), TargetFailure.Kind.NOT_SENT);
         index.connectionLost(target.id());
+        forgetEligibleIfSuspect(target.id());
     }
 
     @Override
