--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -3,17 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.error.ErrorCode;
-import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.limit.HedgePolicy;
 import org.bergamothoist.core.platform.EngineAnswerStart;
@@ -46,12 +42,13 @@
     private final Parts parts;
     private final DispatchSettings settings;
     private final Set<RunningCompletion> running = new LinkedHashSet<>();
-    private final Map<TargetId, Integer> suspectsByTarget = new HashMap<>();
+    private final SuspectIsolation isolation;
 
     /** Creates a dispatcher. */
     public CompletionDispatcher(Parts parts, DispatchSettings settings) {
         this.parts = parts;
         this.settings = settings;
+        this.isolation = new SuspectIsolation(parts.reservation());
     }
 
     /** What the dispatcher works with. */
@@ -61,6 +58,7 @@
             TargetLookup targets,
             EngineLossDetector lossDetector,
             QuarantineController quarantine,
+            EngineReservation reservation,
             RetryPermit retryPermit,
             HedgePolicy hedgePolicy,
             DispatchObserver observer,
@@ -89,19 +87,9 @@
         dispatch(completion);
     }
 
-    /** Returns the engines that run a suspect request of this daemon. */
+    /** Returns whether an engine runs, or is reserved for, a suspect request of any daemon. */
     public boolean runsSuspect(TargetId target) {
-        return suspectsByTarget.getOrDefault(target, 0) > 0;
-    }
-
-    /** Returns a running completion. */
-    public Optional<CompletionExchange> find(RequestId id) {
-        return running().stream().filter(exchange -> exchange.id().equals(id)).findFirst();
-    }
-
-    /** Returns all running completions. */
-    public Collection<CompletionExchange> running() {
-        return running.stream().map(RunningCompletion::exchange).toList();
+        return isolation.runsSuspect(target);
     }
 
     private void dispatch(RunningCompletion completion) {
@@ -124,7 +112,24 @@
             waitForEngine(completion);
             return;
         }
-        send(completion, choice.get(), suspect);
+        if (suspect) {
+            isolation
+                    .occupy(completion, choice.get().target().id())
+                    .thenAccept(granted -> reserved(completion, choice.get(), granted));
+        } else {
+            send(completion, choice.get());
+        }
+    }
+
+    private void reserved(RunningCompletion completion, EngineChoice choice, boolean granted) {
+        if (completion.exchange().finished()) {
+            isolation.freeUnused(choice.target().id());
+        } else if (granted) {
+            send(completion, choice);
+        } else {
+            isolation.free(completion);
+            parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
+        }
     }
 
     private boolean deadlinePassed(CompletionExchange exchange) {
@@ -147,7 +152,7 @@
         parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
     }
 
-    private void send(RunningCompletion completion, EngineChoice choice, boolean suspect) {
+    private void send(RunningCompletion completion, EngineChoice choice) {
         CompletionExchange exchange = completion.exchange();
         int remaining = exchange.submission().maximumTokens() - exchange.relay().deliveredTokens();
         int number = exchange.relay().beginAttempt();
@@ -158,9 +163,11 @@
             return;
         }
         completion.begin(attempt);
-        occupy(completion, choice, attempt, suspect);
+        occupy(completion, choice, attempt);
         start(exchange, choice, attempt, remaining);
-        if (!suspect && exchange.repeatable() && exchange.relay().nextPiece() == 0) {
+        if (!parts.quarantine().isSuspect(exchange.fingerprint())
+                && exchange.repeatable()
+                && exchange.relay().nextPiece() == 0) {
             parts.hedgePolicy()
                     .delay(true)
                     .ifPresent(
@@ -215,7 +222,7 @@
         int number = exchange.relay().beginHedge();
         EngineAttempt attempt = newAttempt(completion, choice.get(), number, false);
         completion.beginHedge(attempt);
-        occupy(completion, choice.get(), attempt, false);
+        occupy(completion, choice.get(), attempt);
         start(exchange, choice.get(), attempt, exchange.submission().maximumTokens());
     }
 
@@ -223,16 +230,8 @@
         return Long.toHexString(BlockHasher.seed(exchange.organisationId(), exchange.modelKey()));
     }
 
-    private void occupy(
-            RunningCompletion completion,
-            EngineChoice choice,
-            EngineAttempt attempt,
-            boolean suspect) {
+    private void occupy(RunningCompletion completion, EngineChoice choice, EngineAttempt attempt) {
         CompletionExchange exchange = completion.exchange();
-        if (suspect) {
-            suspectsByTarget.merge(choice.target().id(), 1, Integer::sum);
-            completion.suspectOn(choice.target().id());
-        }
         exchange.attemptStarted();
         parts.observer().onDispatched(exchange, choice);
         parts.timeline()
@@ -263,7 +262,7 @@
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
         completion.begin(attempt);
-        occupy(completion, choice, attempt, false);
+        occupy(completion, choice, attempt);
         parts.timeline()
                 .record(
                         EventKind.STREAM_RESUMED,
@@ -488,12 +487,7 @@
             return;
         }
         completion.end(attempt);
-        completion
-                .takeSuspectTarget()
-                .ifPresent(
-                        target ->
-                                suspectsByTarget.computeIfPresent(
-                                        target, (id, count) -> count == 1 ? null : count - 1));
+        isolation.free(completion);
         parts.observer().onEnded(completion.exchange(), attempt.target());
     }
 
@@ -511,6 +505,7 @@
     private void ended(RunningCompletion completion) {
         release(completion, completion.hedge());
         release(completion, completion.current());
+        isolation.free(completion);
         running.remove(completion);
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.limit.AdmissionController;
 import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.membership.TargetState;
 import org.bergamothoist.core.placement.EligibleTargets;
 import org.bergamothoist.core.placement.LoadView;
 import org.bergamothoist.core.placement.PlacementDecision;
@@ -156,6 +157,7 @@
     public void onDispatched(CompletionExchange exchange, EngineChoice choice) {
         TargetId target = choice.target().id();
         directory.beforeDispatch(target);
+        forgetEligibleIfSuspect(target);
         replicas.onRouted(exchange.organisationId(), exchange.modelKey(), exchange.chain());
         if (choice.importReplica()) {
             replicas.replicate(
@@ -173,6 +175,18 @@
         index.onDispatch(target, exchange.chain());
     }
 
+    /** A target that failed is tried by one request at a time, at intervals. */
+    private void forgetEligibleIfSuspect(TargetId target) {
+        boolean suspect =
+                directory
+                        .find(target)
+                        .map(known -> known.getValue() == TargetState.SUSPECT)
+                        .orElse(false);
+        if (suspect) {
+            reports.targetsChanged();
+        }
+    }
+
     @Override
     public void onAnswerStarted(
             CompletionExchange exchange, Target target, EngineAnswerStart start) {
@@ -215,6 +229,7 @@
     public void onConnectionFailed(Target target) {
         directory.observeFailure(target.id(), TargetFailure.Kind.NOT_SENT);
         index.connectionLost(target.id());
+        forgetEligibleIfSuspect(target.id());
     }
 
     @Override
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.bergamothoist.core.dispatch.CompletionDispatcher;
 import org.bergamothoist.core.dispatch.EngineLossDetector;
+import org.bergamothoist.core.dispatch.EngineReservation;
 import org.bergamothoist.core.dispatch.ServiceDispatcher;
 import org.bergamothoist.core.filter.AdmissionFilter;
 import org.bergamothoist.core.filter.AuthenticationFilter;
@@ -94,7 +95,7 @@
                         targets.replicas(),
                         new CompletionPlacement.Reporting(metrics, environment.timeline()));
         ResumeTokenCodec tokenCodec = new ResumeTokenCodec(settings.deploymentKey());
-        this.completionDispatcher = createCompletionDispatcher(tokenCodec);
+        this.completionDispatcher = createCompletionDispatcher(tokenCodec, gate.reservation());
         this.serviceDispatcher = createServiceDispatcher();
         this.intake = createIntake(tokenCodec, gate);
     }
@@ -108,7 +109,8 @@
             Supplier<Configuration> configuration,
             BooleanSupplier accepting,
             AdmissionLimits limits,
-            QuarantineController.SuspicionPublisher publisher) {}
+            QuarantineController.SuspicionPublisher publisher,
+            EngineReservation reservation) {}
 
     private static PlacementSettings placementSettings(NodeSettings settings) {
         PlacementSettings standard = PlacementSettings.standard(settings.weights());
@@ -126,7 +128,8 @@
         return log.state().suspicion(fingerprint).map(Suspicion::losses).orElse(0);
     }
 
-    private CompletionDispatcher createCompletionDispatcher(ResumeTokenCodec tokenCodec) {
+    private CompletionDispatcher createCompletionDispatcher(
+            ResumeTokenCodec tokenCodec, EngineReservation reservation) {
         return new CompletionDispatcher(
                 new CompletionDispatcher.Parts(
                         adapters.engines(),
@@ -134,6 +137,7 @@
                         id -> targets.directory().find(id).map(Map.Entry::getKey),
                         new EngineLossDetector(adapters.engines(), environment.scheduler()),
                         quarantine,
+                        reservation,
                         retryBudget::tryTake,
                         new HedgePolicy(
                                 HedgePolicy.STANDARD_QUANTILE, MINIMUM_HEDGE_DELAY, retryBudget),
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -70,6 +70,7 @@
             new HedgePolicy(0.99, Duration.ofMillis(500), RetryBudget.standard());
     final CompletionDispatcher dispatcher;
     int retriesLeft = 100;
+    final FakeReservation reservation = new FakeReservation();
 
     DispatchFixture(int engineCount) {
         for (int number = 1; number <= engineCount; number++) {
@@ -87,6 +88,7 @@
                                 id -> targets.stream().filter(t -> t.id().equals(id)).findFirst(),
                                 detector,
                                 quarantine,
+                                reservation,
                                 () -> retriesLeft-- > 0,
                                 hedgePolicy,
                                 new SilentObserver(),
