Keep the HTTP server running in a planned stop; add stand-in, measure, check

Cause: Dropwizard tells Jetty to stop when the process is terminated. On SIGTERM the server closed all streams after its grace of 1 s, while the daemon's planned stop still waited for them. Only a test with real processes shows it, since an instance in a test gets no signal. Change: the server is stopped by the planned stop only. The command `stand-in` runs the stand-ins and writes the settings files; `measure` and `check` give access to the policy measurement and the randomised runs.

--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -25,7 +25,10 @@
             SheetCommand.class,
             StatusCommand.class,
             TimelineCommand.class,
-            DemoCommand.class
+            DemoCommand.class,
+            MeasureCommand.class,
+            CheckCommand.class,
+            StandInCommand.class
         })
 public final class BergamothoistCommand implements Runnable {
 
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.bergamothoist.core.sheet.OrganisationEntry;
 import org.bergamothoist.daemon.operator.SheetParser;
+import org.bergamothoist.measure.check.RandomisedCheck;
 import picocli.CommandLine;
 import picocli.CommandLine.IFactory;
 
@@ -36,6 +37,9 @@
         if (type == SheetDifferenceCommand.class) {
             return type.cast(new SheetDifferenceCommand(this::parse));
         }
+        if (type == CheckCommand.class) {
+            return type.cast(new CheckCommand(RandomisedCheck::run));
+        }
         return defaults.create(type);
     }
 
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/ExampleDeployment.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/ExampleDeployment.java
@@ -86,9 +86,14 @@
                 .toList();
     }
 
+    /** Returns the deployment's example settings file. */
+    static byte[] settingsFile(Deployment sizes) {
+        return resource(sizes, "settings.json");
+    }
+
     private static JsonNode settings(Deployment sizes) {
         try {
-            return MAPPER.readTree(resource(sizes, "settings.json"));
+            return MAPPER.readTree(settingsFile(sizes));
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/demo/LocalDeployment.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.cli.demo;
 
+import com.google.inject.Module;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -20,9 +21,11 @@
 /** The daemons of a deployment on loopback, over stand-ins, all in this process. */
 public final class LocalDeployment implements AutoCloseable {
 
+    /** Deployment key of examples; not a secret. */
+    static final String EXAMPLE_KEY = "deployment key of examples, not a secret";
+
     private static final DeploymentKey DEPLOYMENT_KEY =
-            new DeploymentKey(
-                    "key of a deployment in one process".getBytes(StandardCharsets.UTF_8));
+            new DeploymentKey(EXAMPLE_KEY.getBytes(StandardCharsets.UTF_8));
     private static final int KIBIBYTE = 1024;
 
     /** A connection may hold the freed port of a killed daemon for a moment. */
@@ -44,9 +47,16 @@
     public DaemonInstance startDaemon(int index) {
         String name = "entry-" + (index + 1);
         String dataCentre = platform.deployment().dataCentre(index);
-        DaemonInstance daemon =
-                DaemonInstance.start(settings(name, dataCentre), new ProductionModule());
-        platform.registerDaemon(name + "-vm", daemon.settings().peerAddress().port(), dataCentre);
+        return startDaemon(settings(name, dataCentre), new ProductionModule());
+    }
+
+    /** Starts a daemon with settings and parts of its own. */
+    DaemonInstance startDaemon(DaemonSettings settings, Module parts) {
+        DaemonInstance daemon = DaemonInstance.start(settings, parts);
+        platform.registerDaemon(
+                settings.virtualMachine(),
+                daemon.settings().peerAddress().port(),
+                settings.dataCentre());
         daemons.add(daemon);
         return daemon;
     }
@@ -94,7 +104,7 @@
                 .toList();
     }
 
-    private DaemonSettings settings(String name, String dataCentre) {
+    DaemonSettings settings(String name, String dataCentre) {
         NetworkAddress anyPort = new NetworkAddress(PlatformStandIn.HOST, 0);
         return new DaemonSettings(
                 name,
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -131,6 +131,8 @@
         bootstrap.run(configuration, environment);
         application.run(configuration, environment);
         Server built = configuration.getServerFactory().build(environment);
+        // Dropwizard asks for the opposite, which cuts all streams when the process is terminated.
+        built.setStopAtShutdown(false);
         try {
             built.start();
         } catch (Exception exception) {
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/PlatformStandIn.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/PlatformStandIn.java
@@ -28,6 +28,7 @@
     private final VirtualMachineListStandIn machines;
     private final WeightStoreStandIn weightStore;
     private final CacheStoreStandIn cacheStore;
+    private final PlatformControl control;
     private final List<EngineStandIn> engines = new ArrayList<>();
     private final List<PlainServiceStandIn> services = new ArrayList<>();
 
@@ -45,6 +46,7 @@
         settings.engine().models().forEach(weightStore::add);
         startEngines(settings.engine(), clock);
         startServices();
+        this.control = new PlatformControl(group, this);
     }
 
     /** Starts the deployment with default settings. */
@@ -83,6 +85,11 @@
         return cacheStore;
     }
 
+    /** Returns the TCP port at which another process can cause faults and read counts. */
+    public int controlPort() {
+        return control.port();
+    }
+
     /** Returns the engines in the order of their numbers, from 1 on. */
     public List<EngineStandIn> engines() {
         return List.copyOf(engines);
@@ -136,6 +143,7 @@
 
     @Override
     public void close() {
+        control.close();
         engines.forEach(EngineStandIn::close);
         services.forEach(PlainServiceStandIn::close);
         log.close();
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
@@ -168,7 +168,7 @@
         } else if (failure != null) {
             lost(address);
         } else if (answer.statusCode() == STATUS_OK) {
-            checker.onEndWithoutOutcome();
+            checker.onEndWithoutOutcome(address);
             finish(OutcomeKind.NO_ANSWER, "");
         } else {
             refused(answer);
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/StreamChecker.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/StreamChecker.java
@@ -83,8 +83,9 @@
     }
 
     /** Reports a stream that ended in the regular way, but without an outcome. */
-    void onEndWithoutOutcome() {
-        report(Violation.Kind.SILENT_CUT, "stream ended without an outcome");
+    void onEndWithoutOutcome(String address) {
+        String detail = "stream of " + address + " ended without an outcome at piece " + nextPiece;
+        report(Violation.Kind.SILENT_CUT, detail);
     }
 
     void onNoOutcome() {
