--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/ProcessesTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/ProcessesTest.java
@@ -26,6 +26,7 @@
 import org.bergamothoist.cli.demo.ExampleDeployment;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.daemon.ProductionModule;
+import org.bergamothoist.daemon.SheetModule;
 import org.bergamothoist.standin.Deployment;
 import org.bergamothoist.standin.client.CallerSettings;
 import org.bergamothoist.standin.client.CallerTransport;
@@ -162,7 +163,7 @@
                 Path.of("../deployments/brunner/sheet.csv"),
                 sheet,
                 StandardCopyOption.REPLACE_EXISTING);
-        return BergamothoistCommand.commandLine(ProductionModule::new, Map.of())
+        return BergamothoistCommand.commandLine(ProductionModule::new, new SheetModule(), Map.of())
                 .setOut(new PrintWriter(new StringWriter()))
                 .execute(
                         "sheet",
