--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -186,6 +186,23 @@
         }
     }
 
+    /**
+     * Answers the heartbeat of a daemon that is not in the roster, at most once in a period. While
+     * the log cannot be read, a daemon on a new VM cannot join, and the others would never send to
+     * it.
+     */
+    public void answerStranger(DaemonId daemon, String address) {
+        roster.update(source.roster());
+        PeerState stranger = state(daemon);
+        if (!running || roster.contains(daemon) || stranger == null) {
+            return;
+        }
+        // Without the bound, two daemons that are strangers to each other would never stop.
+        if (stranger.answerDue(clock.instant(), settings.period())) {
+            send(address, peerAddresses().size());
+        }
+    }
+
     private void send(String address, int peerCount) {
         network.sendComposed(address, () -> composeHeartbeat(peerCount));
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerState.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerState.java
@@ -28,6 +28,7 @@
     private Instant heardAt = Instant.MIN;
     private Instant heardDirectlyAt = Instant.MIN;
     private Instant confirmedAt = Instant.MIN;
+    private Instant answeredAt = Instant.MIN;
 
     private record Reported<T>(T value, Instant at) {}
 
@@ -69,6 +70,15 @@
         }
     }
 
+    /** Returns whether its heartbeat should be answered now, and notes that it is. */
+    boolean answerDue(Instant now, Duration period) {
+        if (answeredAt.isAfter(now.minus(period))) {
+            return false;
+        }
+        answeredAt = now;
+        return true;
+    }
+
     DaemonId daemon() {
         return daemon;
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
@@ -89,6 +89,7 @@
     private void onHeartbeat(
             DaemonId sender, String address, PeerMessage.Heartbeat heartbeat, Instant receivedAt) {
         parts.membership().onHeartbeat(sender, heartbeat, receivedAt);
+        parts.membership().answerStranger(sender, address);
         parts.load().onHeartbeat(sender, heartbeat.outstanding());
         parts.share().onHeartbeat(sender, heartbeat.demand());
         long own = parts.tail().appliedOffset();
--- /dev/null
+++ b/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/FoundFaultsTest.java
@@ -0,0 +1,33 @@
+package org.bergamothoist.measure.check;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Repeats the shortest plans of faults that randomised runs have found. */
+class FoundFaultsTest {
+
+    private static final Interposition NONE = new Interposition() {};
+
+    private static void holds(long seed, boolean checkpointDue, Step... steps) {
+        Plan plan = new Plan(seed, 6, checkpointDue, false, List.of(steps));
+        assertThat(World.run(plan, NONE).violations()).isEmpty();
+    }
+
+    private static Step fault(int milliseconds, FaultKind kind, int subject, int length) {
+        return new Step.Fault(
+                Duration.ofMillis(milliseconds), kind, subject, Duration.ofMillis(length));
+    }
+
+    /** Guards against a daemon on a new VM that hears no peer while the log cannot be read. */
+    @Test
+    void daemonOnNewMachineServesWhileLogCannotBeRead() {
+        holds(
+                54,
+                true,
+                fault(15_702, FaultKind.LOG_READS_DOWN, 375, 8_502),
+                fault(18_680, FaultKind.MACHINE_REPLACEMENT, 712, 2_296));
+    }
+}
