Count every order in flight as a possible load of weights

Cause: an order that only drops a model was not counted against the two loads at once. Change: an engine counts for the flight time of each order to it, and for 30 s after its last report that showed a load; orders go only to engines that have reported within 5 s, so that a dead engine does not take a place for ever. Conclusion: an engine that stands still for more than 30 s while it loads can still be a third one.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/EngineReports.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/EngineReports.java
@@ -1,5 +1,8 @@
 package org.bergamothoist.core.node;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -20,16 +23,23 @@
  */
 final class EngineReports {
 
+    /** An engine that has not reported for longer may be down, and orders to it would be lost. */
+    private static final Duration CURRENT_FOR = Duration.ofSeconds(5);
+
     private final Supplier<Collection<Target>> acceptingEngines;
+    private final InstantSource clock;
     private final Map<TargetId, EngineReport> reports = new HashMap<>();
+    private final Map<TargetId, Instant> reportedAt = new HashMap<>();
     private final Map<ModelKey, EligibleTargets> eligible = new HashMap<>();
 
-    EngineReports(Supplier<Collection<Target>> acceptingEngines) {
+    EngineReports(Supplier<Collection<Target>> acceptingEngines, InstantSource clock) {
         this.acceptingEngines = acceptingEngines;
+        this.clock = clock;
     }
 
     /** Takes a report; the ready engines are worked out again only if the models changed. */
     void onReport(Target target, EngineReport report) {
+        reportedAt.put(target.id(), clock.instant());
         EngineReport before = reports.put(target.id(), report);
         if (before == null || !before.models().equals(report.models())) {
             targetsChanged();
@@ -68,10 +78,12 @@
                 && report.models().contains(new LoadedModel(key, LoadedModel.State.READY));
     }
 
-    /** Returns the accepting engines that have reported. */
+    /** Returns the accepting engines that have reported lately, so that orders may be given. */
     List<EngineView> views() {
+        Instant oldest = clock.instant().minus(CURRENT_FOR);
         return acceptingEngines.get().stream()
                 .filter(target -> reports.containsKey(target.id()))
+                .filter(target -> reportedAt.get(target.id()).isAfter(oldest))
                 .map(target -> new EngineView(target, reports.get(target.id())))
                 .toList();
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/TargetKnowledge.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/TargetKnowledge.java
@@ -30,7 +30,9 @@
                         adapters.virtualMachines(),
                         environment.monitor(),
                         environment.timeline());
-        this.reports = new EngineReports(() -> directory.accepting(TargetKind.MODEL_ENGINE));
+        this.reports =
+                new EngineReports(
+                        () -> directory.accepting(TargetKind.MODEL_ENGINE), environment.clock());
         this.index =
                 new CacheIndex(
                         CacheIndexSettings.standard(), environment.clock(), environment.monitor());
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/order/OrderController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/order/OrderController.java
@@ -38,8 +38,12 @@
     /** Role of engines that answer callers. */
     static final String SERVING_ROLE = "serving";
 
-    /** Time for which an ordered load counts as running although no report shows it. */
-    static final Duration IN_DOUBT = Duration.ofSeconds(10);
+    /**
+     * Time for which a load counts as running although no report shows its end. An engine that
+     * stands still while it loads goes on loading later; a longer time would let engines that died
+     * while loading block the others.
+     */
+    static final Duration IN_DOUBT = Duration.ofSeconds(30);
 
     private final LeaseController lease;
     private final EngineClient engineClient;
@@ -51,6 +55,8 @@
     private final InstantSource clock;
     private final Timeline timeline;
     private final Map<TargetId, PendingLoad> pendingLoads = new HashMap<>();
+    private final Map<TargetId, Instant> inFlightUntil = new HashMap<>();
+    private final Map<TargetId, Instant> loadingUntil = new HashMap<>();
     private final Set<ModelKey> storedWeights = new HashSet<>();
     private final Set<ModelKey> openLookups = new HashSet<>();
 
@@ -89,11 +95,13 @@
     /** Compares desired and reported states and gives the orders that are due. */
     public void tick() {
         lease.tick();
+        List<EngineView> current = engines.get();
+        noteLoading(current);
         if (lease.usableFencingNumber().isEmpty()) {
             pendingLoads.clear();
+            inFlightUntil.clear();
             return;
         }
-        List<EngineView> current = engines.get();
         forgetSettledLoads(current);
         Map<ModelKey, Long> currentDemand = demand.get();
         if (currentDemand.isEmpty()) {
@@ -106,15 +114,29 @@
         }
     }
 
+    /** Also without the lease, since an engine may be silent when this daemon acquires it. */
+    private void noteLoading(List<EngineView> current) {
+        Instant now = clock.instant();
+        for (EngineView engine : current) {
+            if (loading(engine)) {
+                loadingUntil.put(engine.target().id(), now.plus(IN_DOUBT));
+            } else {
+                loadingUntil.remove(engine.target().id());
+            }
+        }
+        loadingUntil.values().removeIf(now::isAfter);
+    }
+
     private void forgetSettledLoads(List<EngineView> current) {
+        Instant now = clock.instant();
         for (EngineView engine : current) {
             PendingLoad pending = pendingLoads.get(engine.target().id());
             if (pending != null && ready(engine).containsAll(pending.models())) {
                 pendingLoads.remove(engine.target().id());
             }
         }
-        Instant now = clock.instant();
         pendingLoads.values().removeIf(pending -> now.isAfter(pending.inDoubtUntil()));
+        inFlightUntil.values().removeIf(now::isAfter);
     }
 
     private void reconcile(
@@ -131,7 +153,7 @@
         if (dropsLastReplica(engine, desired, current, wanted)) {
             return;
         }
-        if (!missing.isEmpty() && !mayLoad(engine, missing, current)) {
+        if (!mayLoad(engine, missing)) {
             return;
         }
         send(engine.target(), desired, missing);
@@ -156,18 +178,19 @@
                 .anyMatch(other -> ready(other).contains(key));
     }
 
-    private boolean mayLoad(EngineView engine, Set<ModelKey> missing, List<EngineView> current) {
+    /**
+     * Returns whether an order may be given that might make the engine load weights. Any order
+     * might: an engine that was restarted after its report has nothing, and loads all that is
+     * ordered.
+     */
+    private boolean mayLoad(EngineView engine, Set<ModelKey> missing) {
         if (!missing.stream().allMatch(this::weightsStored)) {
             return false;
         }
-        if (pendingLoads.containsKey(engine.target().id()) || loading(engine)) {
-            return true;
-        }
         Set<TargetId> loading = new HashSet<>(pendingLoads.keySet());
-        current.stream()
-                .filter(OrderController::loading)
-                .forEach(other -> loading.add(other.target().id()));
-        return loading.size() < MAXIMUM_LOADING;
+        loading.addAll(inFlightUntil.keySet());
+        loading.addAll(loadingUntil.keySet());
+        return loading.contains(engine.target().id()) || loading.size() < MAXIMUM_LOADING;
     }
 
     private boolean weightsStored(ModelKey key) {
@@ -199,6 +222,7 @@
         if (!missing.isEmpty()) {
             pendingLoads.put(target.id(), new PendingLoad(missing, now.plus(IN_DOUBT)));
         }
+        inFlightUntil.put(target.id(), now.plus(LeaseController.FLIGHT_TIME));
         TargetOrder order =
                 new TargetOrder(
                         desired,
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/node/CompletionPlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/node/CompletionPlacementTest.java
@@ -11,9 +11,12 @@
 import java.util.concurrent.CompletableFuture;
 import org.bergamothoist.core.cache.CacheIndex;
 import org.bergamothoist.core.cache.CacheIndexSettings;
+import org.bergamothoist.core.dispatch.EngineChoice;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.EngineIncarnation;
 import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.identity.OrganisationId;
+import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.invariant.InvariantMonitor;
 import org.bergamothoist.core.membership.TargetDirectory;
 import org.bergamothoist.core.placement.LoadSettings;
@@ -23,14 +26,59 @@
 import org.bergamothoist.core.platform.Target;
 import org.bergamothoist.core.platform.TargetKind;
 import org.bergamothoist.core.platform.VirtualMachine;
+import org.bergamothoist.core.prompt.BlockChain;
+import org.bergamothoist.core.prompt.BlockHasher;
+import org.bergamothoist.core.prompt.Prompt;
+import org.bergamothoist.core.request.CompletionExchange;
+import org.bergamothoist.core.request.CompletionSubmission;
+import org.bergamothoist.core.request.RequestExchange;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.bergamothoist.core.timeline.BoundedTimeline;
 import org.bergamothoist.core.timeline.Timeline;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class CompletionPlacementTest {
 
     private static final ModelKey KEY = new ModelKey("lamp", "base", "v1");
+    private static final EngineIncarnation FIRST = new EngineIncarnation("one");
+
+    private final VirtualTimeScheduler time =
+            new VirtualTimeScheduler(Instant.EPOCH.plusSeconds(1_000));
+    private final Timeline timeline = new BoundedTimeline(new DaemonId("entry", 1), time);
+    private final InvariantMonitor monitor =
+            (guarantee, holds, detail) -> assertThat(holds).isTrue();
+    private final TargetDirectory directory =
+            new TargetDirectory(
+                    time,
+                    time,
+                    new SplittableRandom(1),
+                    () -> CompletableFuture.completedFuture(List.of(machine())),
+                    monitor,
+                    timeline);
+    private final EngineReports reports =
+            new EngineReports(() -> directory.accepting(TargetKind.MODEL_ENGINE), time);
+    private final CacheIndex index = new CacheIndex(CacheIndexSettings.standard(), time, monitor);
+    private final CompletionPlacement placement =
+            new CompletionPlacement(
+                    (request, view) -> Optional.empty(),
+                    index,
+                    new LoadView(LoadSettings.standard(), time),
+                    directory,
+                    reports,
+                    null,
+                    new CompletionPlacement.Reporting(
+                            new NodeMetrics(new MetricRegistry()), timeline));
+    private Target engine;
+
+    @BeforeEach
+    void listEngine() {
+        directory.onChange((target, state) -> reports.targetsChanged());
+        directory.start();
+        time.runDueTasks();
+        engine = directory.accepting(TargetKind.MODEL_ENGINE).get(0);
+        reports.onReport(engine, report());
+    }
 
     /**
      * Guards against a dead engine that is tried again and again without a pause, which uses up the
@@ -38,35 +86,6 @@
      */
     @Test
     void failedEngineIsNotEligibleUntilItsNextTryIsDue() {
-        VirtualTimeScheduler time = new VirtualTimeScheduler(Instant.EPOCH.plusSeconds(1_000));
-        Timeline timeline = new BoundedTimeline(new DaemonId("entry", 1), time);
-        InvariantMonitor monitor = (guarantee, holds, detail) -> assertThat(holds).isTrue();
-        TargetDirectory directory =
-                new TargetDirectory(
-                        time,
-                        time,
-                        new SplittableRandom(1),
-                        () -> CompletableFuture.completedFuture(List.of(machine())),
-                        monitor,
-                        timeline);
-        EngineReports reports =
-                new EngineReports(() -> directory.accepting(TargetKind.MODEL_ENGINE));
-        CompletionPlacement placement =
-                new CompletionPlacement(
-                        (request, view) -> Optional.empty(),
-                        new CacheIndex(CacheIndexSettings.standard(), time, monitor),
-                        new LoadView(LoadSettings.standard(), time),
-                        directory,
-                        reports,
-                        null,
-                        new CompletionPlacement.Reporting(
-                                new NodeMetrics(new MetricRegistry()), timeline));
-        directory.onChange((target, state) -> reports.targetsChanged());
-        directory.start();
-        time.runDueTasks();
-        Target engine = directory.accepting(TargetKind.MODEL_ENGINE).get(0);
-        reports.onReport(engine, report());
-
         placement.onConnectionFailed(engine);
         time.advance(Duration.ofSeconds(1));
         reports.targetsChanged();
@@ -76,6 +95,49 @@
         assertThat(placement.eligible(KEY).contains(engine.id())).isFalse();
     }
 
+    /** Guards against a prediction for an incarnation that ended while a suspect waited. */
+    @Test
+    void confirmedChoiceIsForThePresentIncarnation() {
+        OrganisationId organisation = new OrganisationId("hotel");
+        Prompt prompt = new Prompt("candles ".repeat(20));
+        BlockChain chain = new BlockHasher(4).chain(organisation, KEY, prompt);
+        index.onAnswer(engine.id(), FIRST, chain, 0);
+        EngineChoice choice = new EngineChoice(engine, FIRST, chain.length(), false);
+        assertThat(placement.confirm(exchange(prompt, chain), choice)).contains(choice);
+
+        EngineIncarnation second = new EngineIncarnation("two");
+        index.observe(engine.id(), second);
+        assertThat(placement.confirm(exchange(prompt, chain), choice))
+                .contains(new EngineChoice(engine, second, 0, false));
+
+        reports.lost(engine.id());
+        assertThat(placement.confirm(exchange(prompt, chain), choice)).isEmpty();
+    }
+
+    private CompletionExchange exchange(Prompt prompt, BlockChain chain) {
+        RequestId id = RequestId.create(time.instant(), new SplittableRandom(1));
+        CompletionExchange exchange =
+                new CompletionExchange(
+                        new RequestExchange.Head(
+                                id, true, "key", 5, time.instant(), Optional.empty(), true),
+                        new CompletionSubmission(
+                                "key",
+                                Optional.of(id),
+                                KEY.model(),
+                                KEY.adapter(),
+                                Optional.empty(),
+                                prompt,
+                                10,
+                                5,
+                                Optional.empty(),
+                                true),
+                        Optional.empty(),
+                        null,
+                        (request, outcome) -> outcome);
+        exchange.resolved(KEY, chain, null);
+        return exchange;
+    }
+
     private static VirtualMachine machine() {
         return new VirtualMachine(
                 "engine",
@@ -89,7 +151,7 @@
 
     private static EngineReport report() {
         return new EngineReport(
-                new EngineIncarnation("one"),
+                FIRST,
                 List.of(new LoadedModel(KEY, LoadedModel.State.READY)),
                 0,
                 0,
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/order/OrderControllerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/order/OrderControllerTest.java
@@ -66,6 +66,8 @@
                         timeline));
     }
 
+    private long mostLoading;
+
     private CompletionStage<Boolean> weightsStored(ModelKey key) {
         return weightStoreDown
                 ? CompletableFuture.failedFuture(new PlatformException("weight store is down"))
@@ -76,7 +78,8 @@
         for (int second = 0; second < seconds; second++) {
             controller.tick();
             time.runDueTasks();
-            assertThat(engines.loading()).isLessThanOrEqualTo(OrderController.MAXIMUM_LOADING);
+            mostLoading = Math.max(mostLoading, engines.loading());
+            assertThat(mostLoading).isLessThanOrEqualTo(OrderController.MAXIMUM_LOADING);
             time.advance(Duration.ofSeconds(1));
         }
     }
@@ -125,11 +128,43 @@
         assertThat(engines.orders).isEmpty();
     }
 
+    /**
+     * Guards against loads beyond two by orders to drop a model, which make an engine load that was
+     * restarted after its last report.
+     */
+    @Test
+    void ordersToRestartedEnginesCountAsLoads() {
+        demand.put(V2, 10L);
+        OrderController controller = controller(new FoldedLeaseLog(time));
+        run(controller, 60);
+        assertThat(engines.allReady(V2)).isTrue();
+        engines.restartUnseen();
+        demand.remove(V2);
+        mostLoading = 0;
+        run(controller, 6);
+        assertThat(mostLoading).isPositive();
+    }
+
+    /** Guards against a third load while an engine that loads stands still and does not report. */
+    @Test
+    void silentLoadingEngineCounts() {
+        OrderController controller = controller(new FoldedLeaseLog(time));
+        while (engines.loading() == 0) {
+            run(controller, 1);
+        }
+        engines.standStill(Duration.ofSeconds(25));
+        mostLoading = 0;
+        run(controller, 24);
+        assertThat(mostLoading).isPositive();
+    }
+
     /** Engines that load for two seconds. */
     private final class FakeEngines implements EngineClient {
 
         private final Map<Target, Map<ModelKey, Instant>> readyAt = new LinkedHashMap<>();
         private final List<TargetOrder> orders = new ArrayList<>();
+        private final Set<TargetId> silent = new HashSet<>();
+        private List<EngineView> unseen = List.of();
         private OrderFault fault = OrderFault.NONE;
         private int received;
         private boolean everWithoutReadyModel;
@@ -149,8 +184,31 @@
             }
         }
 
+        /** All engines come back empty, though their last reports say otherwise. */
+        void restartUnseen() {
+            unseen = views();
+            readyAt.values().forEach(Map::clear);
+        }
+
+        /** The engines that load go on later, and do not report until then. */
+        void standStill(Duration duration) {
+            Instant now = time.instant();
+            readyAt.forEach(
+                    (target, models) -> {
+                        if (models.values().stream().anyMatch(now::isBefore)) {
+                            silent.add(target.id());
+                            models.replaceAll((key, ready) -> now.plus(duration));
+                        }
+                    });
+        }
+
         List<EngineView> views() {
+            return unseen.isEmpty() ? reported() : unseen;
+        }
+
+        private List<EngineView> reported() {
             return readyAt.entrySet().stream()
+                    .filter(entry -> !silent.contains(entry.getKey().id()))
                     .map(entry -> new EngineView(entry.getKey(), report(entry.getValue())))
                     .toList();
         }
