Choose anew when a suspect has waited for its engine's reservation

Cause: the reservation of an engine takes up to 1 s while the log does not take appends. Change: after the wait the choice is confirmed: incarnation and cached blocks are looked up again, and an engine that no longer accepts work is given up. Conclusion: no prediction outlives the evidence against it.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -121,12 +121,16 @@
     private void reserved(RunningCompletion completion, EngineChoice choice, boolean granted) {
         if (completion.exchange().finished()) {
             isolation.freeUnused(choice.target().id());
-        } else if (granted) {
-            send(completion, choice);
-        } else {
-            isolation.free(completion);
-            parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
+            return;
+        }
+        Optional<EngineChoice> confirmed =
+                parts.chooser().confirm(completion.exchange(), choice).filter(kept -> granted);
+        if (confirmed.isPresent()) {
+            send(completion, confirmed.get());
+            return;
         }
+        isolation.free(completion);
+        parts.scheduler().schedule(WAIT_STEP, () -> dispatch(completion));
     }
 
     private boolean deadlinePassed(CompletionExchange exchange) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/EngineChooser.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/EngineChooser.java
@@ -17,4 +17,12 @@
      */
     Optional<EngineChoice> choose(
             CompletionExchange exchange, Set<TargetId> excluded, boolean alone);
+
+    /**
+     * Returns the choice as it stands after a wait, or empty if the engine no longer accepts the
+     * request. In the meantime it may have been restarted or be leaving.
+     */
+    default Optional<EngineChoice> confirm(CompletionExchange exchange, EngineChoice choice) {
+        return Optional.of(choice);
+    }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -101,6 +101,20 @@
         return decide(exchange, excluded, alone).flatMap(this::toChoice);
     }
 
+    @Override
+    public Optional<EngineChoice> confirm(CompletionExchange exchange, EngineChoice choice) {
+        TargetId target = choice.target().id();
+        if (!eligible(exchange.modelKey()).contains(target)) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new EngineChoice(
+                        choice.target(),
+                        incarnation(target),
+                        index.matchedBlocks(target, exchange.chain()),
+                        choice.importReplica()));
+    }
+
     private Optional<PlacementDecision> decide(
             CompletionExchange exchange, Set<TargetId> excluded, boolean alone) {
         PlacementRequest request =
@@ -115,24 +129,23 @@
     }
 
     private Optional<EngineChoice> toChoice(PlacementDecision decision) {
-        EngineIncarnation incarnation =
-                index.incarnation(decision.target())
-                        .or(
-                                () ->
-                                        reports.report(decision.target())
-                                                .map(report -> report.incarnation()))
-                        .orElse(EngineIncarnation.UNKNOWN);
         return directory
                 .find(decision.target())
                 .map(
                         known ->
                                 new EngineChoice(
                                         known.getKey(),
-                                        incarnation,
+                                        incarnation(decision.target()),
                                         decision.cachedBlocks(),
                                         decision.importReplica()));
     }
 
+    private EngineIncarnation incarnation(TargetId target) {
+        return index.incarnation(target)
+                .or(() -> reports.report(target).map(report -> report.incarnation()))
+                .orElse(EngineIncarnation.UNKNOWN);
+    }
+
     @Override
     public EligibleTargets eligible(ModelKey key) {
         return reports.eligible(key);
