--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/client/CompletionCall.java
@@ -184,10 +184,10 @@
         checker.onLost();
         if (resumeToken.isPresent()) {
             resumes++;
-        } else if (request.idempotent()) {
-            renewRequestId();
         }
-        transport.schedule(CallerTransport.RECONNECT_DELAY, this::send);
+        boolean again = resumeToken.isPresent() || !request.idempotent();
+        transport.schedule(
+                CallerTransport.RECONNECT_DELAY, again ? this::send : this::sendUnderNewId);
     }
 
     private void refused(HttpResponse<byte[]> answer) {
@@ -209,15 +209,21 @@
             finish(said.kind(), said.code());
             return;
         }
-        if (resumeToken.isEmpty()) {
-            renewRequestId();
-        }
-        transport.schedule(Duration.ofMillis(said.retryAfterMs()), this::send);
+        transport.schedule(
+                Duration.ofMillis(said.retryAfterMs()),
+                resumeToken.isPresent() ? this::send : this::sendUnderNewId);
     }
 
-    private void renewRequestId() {
-        requestId = transport.newRequestId().toString();
-        checker.restart(requestId);
+    /** An identifier carries the time of its first sending, so it is made only then. */
+    private void sendUnderNewId() {
+        synchronized (this) {
+            if (result.isDone()) {
+                return;
+            }
+            requestId = transport.newRequestId().toString();
+            checker.restart(requestId);
+        }
+        send();
     }
 
     private synchronized void giveUp() {
