--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/MeasureCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/MeasureCommand.java
@@ -6,6 +6,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.bergamothoist.cli.demo.ExampleDeployment;
+import org.bergamothoist.cli.demo.RealPathMeasurement;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.measure.Deployment;
 import org.bergamothoist.measure.MeasurementRow;
@@ -41,8 +45,18 @@
     @Option(names = "--report", paramLabel = "FILE", description = "write an HTML page with charts")
     private Path report;
 
+    @Option(
+            names = "--real-path",
+            description =
+                    "measure daemons over HTTP on loopback instead, against callers that reach the"
+                            + " engines directly; prints JSON")
+    private boolean realPath;
+
     @Override
-    public Integer call() {
+    public Integer call() throws Exception {
+        if (realPath) {
+            return measureRealPath();
+        }
         Deployment measured = Deployment.named(deployment.deployment().name());
         List<MeasurementRow> rows = new PolicyMeasurement(measured, seed).measure();
         Output output = new Output(spec.commandLine().getOut());
@@ -57,6 +71,16 @@
         return ExitCodes.SUCCESS;
     }
 
+    private int measureRealPath() throws Exception {
+        Configurator.setRootLevel(Level.ERROR);
+        ExampleDeployment example = ExampleDeployment.load(deployment.deployment());
+        RealPathMeasurement measurement =
+                new RealPathMeasurement(
+                        example, seed, line -> spec.commandLine().getErr().println(line));
+        new Output(spec.commandLine().getOut()).json(measurement.measure());
+        return ExitCodes.SUCCESS;
+    }
+
     private static void print(List<MeasurementRow> rows, Output output) {
         output.line(
                 HEADER.formatted(
