Name the quarantine limits and the age of no confirmation once

Cause: two losses and 1 hour stood in QuarantineController as well as in core.log, and 365 days in three classes of core.node as well as in RosterDigest.

Change: QuarantineController and SuspicionTable use SharedState's constants; the node classes use RosterDigest.NEVER. No value changes. LogTail.NEVER_CONFIRMED (1 day) stays, since it also bounds which ages of peers are plausible.

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SharedState.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SharedState.java
@@ -35,9 +35,15 @@
      */
     public static final Duration CLAIM_RETENTION = DUPLICATE_WINDOW.plusMinutes(2);
 
-    /** Losses from which on a fingerprint is quarantined. */
+    /**
+     * Losses from which on a fingerprint is quarantined. The first may be a coincidence of its
+     * batch.
+     */
     public static final int QUARANTINE_LOSSES = 2;
 
+    /** Time for which a fingerprint is remembered after the last counted loss. */
+    public static final Duration QUARANTINE_DURATION = Duration.ofHours(1);
+
     private final OrganisationTable organisations = new OrganisationTable();
     private final ClaimTable claims = new ClaimTable();
     private final RosterTable roster = new RosterTable();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SuspicionTable.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/SuspicionTable.java
@@ -1,6 +1,5 @@
 package org.bergamothoist.core.log;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -21,9 +20,6 @@
 /** The fingerprints that were on lost engines. */
 final class SuspicionTable {
 
-    /** How long a fingerprint is remembered after the last counted loss. */
-    static final Duration QUARANTINE = Duration.ofHours(1);
-
     /** Most losses counted; two suffice for quarantine, and the list is part of checkpoints. */
     static final int MAXIMUM_LOSSES = 8;
 
@@ -62,7 +58,8 @@
             losses = earlier.losses() + 1;
         }
         engines.add(engine);
-        return new Suspicion(fingerprint, losses, logTime.plus(QUARANTINE), engines);
+        return new Suspicion(
+                fingerprint, losses, logTime.plus(SharedState.QUARANTINE_DURATION), engines);
     }
 
     FoldResult release(QuarantineRelease release) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeHeartbeatSource.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeHeartbeatSource.java
@@ -15,14 +15,13 @@
 import org.bergamothoist.core.membership.TargetDirectory;
 import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
 import org.bergamothoist.core.peer.PeerMessage.Outstanding;
+import org.bergamothoist.core.peer.RosterDigest;
 import org.bergamothoist.core.placement.LoadView;
 import org.bergamothoist.core.platform.VirtualMachine;
 
 /** Supplies the content of heartbeats. Confined to the control thread. */
 final class NodeHeartbeatSource implements HeartbeatSource {
 
-    private static final Duration NEVER = Duration.ofDays(365);
-
     private final SharedState state;
     private final TargetDirectory directory;
     private final LogTail tail;
@@ -70,7 +69,7 @@
 
     @Override
     public Duration confirmedAge() {
-        return tail.confirmedAge().orElse(NEVER);
+        return tail.confirmedAge().orElse(RosterDigest.NEVER);
     }
 
     @Override
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeStatusReporter.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeStatusReporter.java
@@ -1,6 +1,5 @@
 package org.bergamothoist.core.node;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntSupplier;
@@ -12,13 +11,12 @@
 import org.bergamothoist.core.membership.PeerMembership;
 import org.bergamothoist.core.membership.PeerView;
 import org.bergamothoist.core.membership.TargetDirectory;
+import org.bergamothoist.core.peer.RosterDigest;
 import org.bergamothoist.core.placement.LoadView;
 
 /** Summarises a node for operators. Confined to the control thread. */
 final class NodeStatusReporter {
 
-    private static final Duration NEVER = Duration.ofDays(365);
-
     private final Parts parts;
 
     NodeStatusReporter(Parts parts) {
@@ -46,7 +44,7 @@
                 parts.lifecycle().status(),
                 parts.configuration().configuration(),
                 parts.tail().appliedOffset(),
-                parts.tail().confirmedAge().orElse(NEVER),
+                parts.tail().confirmedAge().orElse(RosterDigest.NEVER),
                 parts.state().organisations().size(),
                 parts.runningRequests().getAsInt(),
                 peers(),
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
@@ -18,6 +18,7 @@
 import org.bergamothoist.core.membership.PeerView;
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.peer.PeerNetwork;
+import org.bergamothoist.core.peer.RosterDigest;
 import org.bergamothoist.core.placement.LoadView;
 import org.bergamothoist.core.quarantine.QuarantineController;
 
@@ -35,9 +36,6 @@
     /** Age of a peer's confirmation from which on it is told of a newer one. */
     private static final Duration RELAY_AGE = Duration.ofSeconds(1);
 
-    /** Age of a confirmation that never was. */
-    private static final Duration NEVER = Duration.ofDays(365);
-
     private final Parts parts;
     private QuarantineController quarantine;
 
@@ -116,7 +114,7 @@
                         address,
                         new PeerMessage.SnapshotAnswer(
                                 parts.state().snapshot(),
-                                parts.tail().confirmedAge().orElse(NEVER),
+                                parts.tail().confirmedAge().orElse(RosterDigest.NEVER),
                                 parts.index().hottest(HOT_BLOCKS)));
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/QuarantineController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/QuarantineController.java
@@ -18,6 +18,7 @@
 import org.bergamothoist.core.identity.EngineIncarnation;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.log.LogRecord;
+import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.time.Scheduler;
 
@@ -30,12 +31,6 @@
  */
 public final class QuarantineController {
 
-    /** Losses at which content is quarantined: the first may be a coincidence of its batch. */
-    public static final int LOSSES_FOR_QUARANTINE = 2;
-
-    /** Time after which a loss no longer counts. */
-    public static final Duration QUARANTINE_DURATION = Duration.ofHours(1);
-
     /** Longest time for which an answer waits until peers know of a loss. */
     static final Duration SPREAD_LIMIT = Duration.ofSeconds(1);
 
@@ -97,7 +92,7 @@
 
     /** Returns whether requests with this content are refused. */
     public boolean isQuarantined(Fingerprint fingerprint) {
-        return lossCount(fingerprint) >= LOSSES_FOR_QUARANTINE;
+        return lossCount(fingerprint) >= SharedState.QUARANTINE_LOSSES;
     }
 
     /** Returns whether the content was on a lost engine. */
@@ -187,7 +182,7 @@
     }
 
     private void record(LogRecord.LossReport report) {
-        Instant expiry = clock.instant().plus(QUARANTINE_DURATION);
+        Instant expiry = clock.instant().plus(SharedState.QUARANTINE_DURATION);
         EngineLoss loss = new EngineLoss(report.target(), report.incarnation());
         for (Fingerprint fingerprint : report.suspects()) {
             LocalLosses local = losses.computeIfAbsent(fingerprint, key -> new LocalLosses());
