Move the state of the configuration below the node package

Cause: core.log.ConfigurationFreshness and core.filter used NodeStatus.Configuration of core.node, so the packages formed a cycle.

Change: the enum is core.log.ConfigurationState. ArchitectureTest also forbids core.log, core.sheet and core.filter to depend on core.node.

Conclusion: no change of behaviour; operators see the same values.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ConfigurationFilter.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ConfigurationFilter.java
@@ -4,7 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.bergamothoist.core.error.ErrorCode;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.request.Outcome;
 import org.bergamothoist.core.request.RequestExchange;
 import org.bergamothoist.core.request.RequestFilter;
@@ -14,7 +14,7 @@
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
-    private final Supplier<Configuration> configuration;
+    private final Supplier<ConfigurationState> configuration;
     private final BooleanSupplier accepting;
 
     /**
@@ -22,7 +22,8 @@
      *
      * @param accepting false once a planned stop no longer takes new requests
      */
-    public ConfigurationFilter(Supplier<Configuration> configuration, BooleanSupplier accepting) {
+    public ConfigurationFilter(
+            Supplier<ConfigurationState> configuration, BooleanSupplier accepting) {
         this.configuration = configuration;
         this.accepting = accepting;
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/ConfigurationFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/ConfigurationFreshness.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 
 /**
  * Decides whether a daemon may serve under the configuration that it has. {@code
@@ -68,19 +67,19 @@
      * @param roster roster by the daemon's own fold
      * @param peers at most one view for each daemon
      */
-    public static Configuration of(
+    public static ConfigurationState of(
             OwnView own, Collection<RosterMember> roster, Collection<PeerView> peers) {
         if (own.appliedOffset() == 0) {
-            return Configuration.NONE;
+            return ConfigurationState.NONE;
         }
         if (isFresh(own, peers)) {
-            return Configuration.FRESH;
+            return ConfigurationState.FRESH;
         }
         boolean outage =
                 !own.logReachable()
                         && peers.stream().noneMatch(peer -> contradicts(own, peer))
                         && isMajority(own, roster, peers);
-        return outage ? Configuration.LOG_OUTAGE : Configuration.STALE;
+        return outage ? ConfigurationState.LOG_OUTAGE : ConfigurationState.STALE;
     }
 
     /** A peer at the same offset that confirmed the log's end has confirmed this view as well. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/ConfigurationView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/ConfigurationView.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.log.ConfigurationFreshness;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.LogTail;
 import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.membership.PeerMembership;
 import org.bergamothoist.core.membership.PeerView;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.sheet.SheetReach;
 
 /** Joins what this daemon and its peers know of the log. Confined to the control thread. */
@@ -27,7 +27,7 @@
         this.membership = membership;
     }
 
-    Configuration configuration() {
+    ConfigurationState configuration() {
         List<ConfigurationFreshness.PeerView> views = new ArrayList<>();
         for (PeerView peer : membership.peers()) {
             Duration atMessage = peer.confirmedAge().minus(peer.informationAge());
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
@@ -11,11 +11,11 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.LogAppender;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
 import org.bergamothoist.core.platform.VirtualMachine;
 import org.bergamothoist.core.time.Scheduler;
@@ -43,7 +43,7 @@
     private DaemonStatus status = DaemonStatus.STARTING;
     private boolean accepting = true;
     private boolean joining;
-    private Configuration lastConfiguration = Configuration.NONE;
+    private ConfigurationState lastConfiguration = ConfigurationState.NONE;
 
     NodeLifecycle(Parts parts) {
         this.parts = parts;
@@ -60,7 +60,7 @@
             NodeSettings settings,
             SharedState state,
             LogAppender appender,
-            Supplier<Configuration> configuration,
+            Supplier<ConfigurationState> configuration,
             Supplier<List<VirtualMachine>> virtualMachines,
             BooleanSupplier idle,
             Scheduler scheduler,
@@ -89,18 +89,19 @@
         }
     }
 
-    private void noteConfiguration(Configuration configuration) {
+    private void noteConfiguration(ConfigurationState configuration) {
         if (configuration == lastConfiguration) {
             return;
         }
         EventKind kind =
-                configuration == Configuration.STALE
+                configuration == ConfigurationState.STALE
                         ? EventKind.CONFIGURATION_STALE
                         : EventKind.CONFIGURATION_FRESH;
         parts.timeline().record(kind, "configuration", lastConfiguration + " to " + configuration);
         lastConfiguration = configuration;
         boolean usable =
-                configuration == Configuration.FRESH || configuration == Configuration.LOG_OUTAGE;
+                configuration == ConfigurationState.FRESH
+                        || configuration == ConfigurationState.LOG_OUTAGE;
         if (usable && status == DaemonStatus.STARTING) {
             status = DaemonStatus.SERVING;
             parts.timeline().record(EventKind.DAEMON_READY, self().name(), "");
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeStatus.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeStatus.java
@@ -6,6 +6,7 @@
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.invariant.Guarantee;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
 
 /**
@@ -20,7 +21,7 @@
         DaemonId daemon,
         String dataCentre,
         DaemonStatus status,
-        Configuration configuration,
+        ConfigurationState configuration,
         long appliedOffset,
         Duration confirmedAge,
         int organisations,
@@ -35,18 +36,6 @@
         violations = Map.copyOf(violations);
     }
 
-    /** How current the configuration is. */
-    public enum Configuration {
-        /** There is none yet. */
-        NONE,
-        /** It was confirmed shortly before. */
-        FRESH,
-        /** The log is down, and a majority of the daemons agrees. */
-        LOG_OUTAGE,
-        /** It cannot be confirmed; new requests are refused. */
-        STALE
-    }
-
     /** Another daemon as seen from here. */
     public record PeerView(
             DaemonId daemon,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -25,8 +25,8 @@
 import org.bergamothoist.core.limit.AdmissionSettings;
 import org.bergamothoist.core.limit.HedgePolicy;
 import org.bergamothoist.core.limit.RetryBudget;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.SharedStateSnapshot.Suspicion;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.placement.PlacementSettings;
 import org.bergamothoist.core.placement.PrefixAwarePolicy;
 import org.bergamothoist.core.platform.TargetFailure;
@@ -105,7 +105,7 @@
      * @param accepting false once a planned stop no longer takes new requests
      */
     record Gate(
-            Supplier<Configuration> configuration,
+            Supplier<ConfigurationState> configuration,
             BooleanSupplier accepting,
             AdmissionLimits limits,
             QuarantineController.SuspicionPublisher publisher) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
@@ -21,6 +21,7 @@
 import org.bergamothoist.core.invariant.Guarantee;
 import org.bergamothoist.core.limit.AdmissionLimits;
 import org.bergamothoist.core.limit.OrganisationShare;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.FoldResult;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
@@ -29,7 +30,6 @@
 import org.bergamothoist.core.membership.HeartbeatSource;
 import org.bergamothoist.core.membership.MembershipSettings;
 import org.bergamothoist.core.membership.PeerMembership;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.order.DesiredStatePlanner;
 import org.bergamothoist.core.order.LeaseController;
 import org.bergamothoist.core.order.LeaseLog;
@@ -281,7 +281,7 @@
 
             @Override
             public boolean current() {
-                return configuration.configuration() == Configuration.FRESH
+                return configuration.configuration() == ConfigurationState.FRESH
                         && log.tail().isReachable();
             }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/ArchitectureTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/ArchitectureTest.java
@@ -57,7 +57,10 @@
                             "..core.order..",
                             "..core.membership..",
                             "..core.quarantine..",
-                            "..core.stream..")
+                            "..core.stream..",
+                            "..core.log..",
+                            "..core.sheet..",
+                            "..core.filter..")
                     .should()
                     .dependOnClassesThat()
                     .resideInAPackage("..core.node..");
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/ConfigurationFreshnessTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/ConfigurationFreshnessTest.java
@@ -1,11 +1,11 @@
 package org.bergamothoist.core.log;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.bergamothoist.core.log.ConfigurationState.FRESH;
+import static org.bergamothoist.core.log.ConfigurationState.LOG_OUTAGE;
+import static org.bergamothoist.core.log.ConfigurationState.NONE;
+import static org.bergamothoist.core.log.ConfigurationState.STALE;
 import static org.bergamothoist.core.log.Records.daemon;
-import static org.bergamothoist.core.node.NodeStatus.Configuration.FRESH;
-import static org.bergamothoist.core.node.NodeStatus.Configuration.LOG_OUTAGE;
-import static org.bergamothoist.core.node.NodeStatus.Configuration.NONE;
-import static org.bergamothoist.core.node.NodeStatus.Configuration.STALE;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,7 +16,6 @@
 import org.bergamothoist.core.log.ConfigurationFreshness.OwnView;
 import org.bergamothoist.core.log.ConfigurationFreshness.PeerView;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,7 +53,7 @@
                 .toList();
     }
 
-    private static Configuration decide(OwnView own, List<PeerView> peers) {
+    private static ConfigurationState decide(OwnView own, List<PeerView> peers) {
         return ConfigurationFreshness.of(own, SIX, peers);
     }
 
@@ -68,7 +67,11 @@
     })
     @DisplayName("guards against service under a state that nobody vouches for")
     void decides(
-            long offset, long confirmed, boolean reachable, int peers, Configuration expected) {
+            long offset,
+            long confirmed,
+            boolean reachable,
+            int peers,
+            ConfigurationState expected) {
         assertThat(decide(own(offset, confirmed, reachable), peers(peers, 5, LONG_AGO, 3_000)))
                 .isEqualTo(expected);
     }
@@ -90,7 +93,7 @@
     @CsvSource({"6, 9000, STALE", "5, 2500, FRESH", "5, 2501, LOG_OUTAGE", "4, 2500, STALE"})
     @DisplayName(
             "guards against outage mode while a peer knows more, and gaps when an outage starts")
-    void onePeerThatDiffers(long offset, long confirmed, Configuration expected) {
+    void onePeerThatDiffers(long offset, long confirmed, ConfigurationState expected) {
         List<PeerView> views = new ArrayList<>(peers(3, 5, LONG_AGO, 500));
         views.add(peer(daemon("d4", 1), offset, Duration.ofMillis(confirmed), 500));
         assertThat(decide(own(5, 4_000, false), views)).isEqualTo(expected);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachPropertiesTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/sheet/SheetReachPropertiesTest.java
@@ -19,11 +19,11 @@
 import org.bergamothoist.core.log.ConfigurationFreshness;
 import org.bergamothoist.core.log.ConfigurationFreshness.OwnView;
 import org.bergamothoist.core.log.ConfigurationFreshness.PeerView;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.log.Records;
 import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.platform.LogEntry;
 import org.bergamothoist.core.sheet.SheetReach.DaemonView;
 import org.bergamothoist.core.sheet.SheetStatus.Reach;
@@ -116,6 +116,6 @@
                 });
         OwnView own = new OwnView(id, fold.appliedOffset(), Optional.empty(), false);
         assertThat(ConfigurationFreshness.of(own, fold.roster(), heard))
-                .isIn(Configuration.STALE, Configuration.NONE);
+                .isIn(ConfigurationState.STALE, ConfigurationState.NONE);
     }
 }
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/FakeRouter.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/FakeRouter.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.RequestId;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.membership.AddressAnswer;
 import org.bergamothoist.core.node.NodeStatus;
 import org.bergamothoist.core.node.Router;
@@ -180,7 +181,7 @@
                         DAEMON,
                         "biel-a",
                         DaemonStatus.SERVING,
-                        NodeStatus.Configuration.FRESH,
+                        ConfigurationState.FRESH,
                         7,
                         Duration.ofMillis(250),
                         0,
