Use one codec of log records

Cause: daemon.adapter.LogRecordCodec repeated protocol.LogRecordCodec, and ProductionModule forwarded one to the other.

Change: HttpLogService takes an encoder and a decoder; DaemonModule passes the protocol module's codec. PlatformAdaptersTest passes its text codec as two functions, with the same assertions; TestDaemon's unused codec is removed.

Tested: tests of the daemon.

Conclusion: no change of behaviour.

--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -68,8 +68,8 @@
      * Starts a daemon: binds its addresses, then starts its router, which goes on in the
      * background.
      *
-     * @param parts binds {@link RouterFactory}, {@link PeerTransport.Factory}, the codec of log
-     *     records and parser and printer of sheets
+     * @param parts binds {@link RouterFactory}, {@link PeerTransport.Factory} and parser and
+     *     printer of sheets
      * @throws DaemonException if an address cannot be bound or a part cannot be created
      */
     public static DaemonInstance start(DaemonSettings settings, Module parts) {
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonModule.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonModule.java
@@ -22,11 +22,11 @@
 import org.bergamothoist.daemon.adapter.HttpServiceClient;
 import org.bergamothoist.daemon.adapter.HttpVirtualMachineList;
 import org.bergamothoist.daemon.adapter.HttpWeightStore;
-import org.bergamothoist.daemon.adapter.LogRecordCodec;
 import org.bergamothoist.daemon.adapter.OutboundHttp;
 import org.bergamothoist.daemon.runtime.ControlThread;
 import org.bergamothoist.daemon.runtime.RouterGate;
 import org.bergamothoist.daemon.settings.DaemonSettings;
+import org.bergamothoist.protocol.LogRecordCodec;
 
 /** Binds what a daemon has of its own; the rest comes from {@link DaemonInstance}'s parts. */
 final class DaemonModule extends AbstractModule {
@@ -73,8 +73,9 @@
 
     @Provides
     @Singleton
-    LogService logService(OutboundHttp http, LogRecordCodec codec) {
-        return new HttpLogService(http, settings.platform().log(), codec);
+    LogService logService(OutboundHttp http) {
+        LogRecordCodec codec = new LogRecordCodec();
+        return new HttpLogService(http, settings.platform().log(), codec::encode, codec::decode);
     }
 
     @Provides
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
@@ -10,7 +10,6 @@
 import org.bergamothoist.core.dispatch.DispatchSettings;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.invariant.CountingInvariantMonitor;
-import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.node.NodeSettings;
 import org.bergamothoist.core.node.RouterNode;
 import org.bergamothoist.core.placement.PlacementWeights;
@@ -18,7 +17,6 @@
 import org.bergamothoist.core.sheet.SheetCsv;
 import org.bergamothoist.core.timeline.BoundedTimeline;
 import org.bergamothoist.core.timeline.Timeline;
-import org.bergamothoist.daemon.adapter.LogRecordCodec;
 import org.bergamothoist.daemon.operator.SheetFault;
 import org.bergamothoist.daemon.operator.SheetFaultsException;
 import org.bergamothoist.daemon.operator.SheetParser;
@@ -29,8 +27,7 @@
 
 /**
  * Binds the parts of a daemon that other modules provide: the router, the transport between
- * daemons, the codec of log records, parser and printer of sheets. Each daemon needs an instance of
- * its own.
+ * daemons, parser and printer of sheets. Each daemon needs an instance of its own.
  */
 public final class ProductionModule extends AbstractModule {
 
@@ -114,24 +111,6 @@
                         standard.waitForEngine()));
     }
 
-    @Provides
-    @Singleton
-    LogRecordCodec logRecordCodec() {
-        org.bergamothoist.protocol.LogRecordCodec codec =
-                new org.bergamothoist.protocol.LogRecordCodec();
-        return new LogRecordCodec() {
-            @Override
-            public byte[] encode(LogRecord record) {
-                return codec.encode(record);
-            }
-
-            @Override
-            public LogRecord decode(byte[] bytes) {
-                return codec.decode(bytes);
-            }
-        };
-    }
-
     @Provides
     SheetParser sheetParser() {
         return csv -> {
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/HttpLogService.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/adapter/HttpLogService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -25,18 +26,30 @@
 
     private final OutboundHttp http;
     private final URI base;
-    private final LogRecordCodec codec;
+    private final Function<LogRecord, byte[]> encoder;
+    private final Function<byte[], LogRecord> decoder;
 
-    /** Creates a client of the log below the base URL. */
-    public HttpLogService(OutboundHttp http, URI base, LogRecordCodec codec) {
+    /**
+     * Creates a client of the log below the base URL.
+     *
+     * @param encoder returns the bytes that the log keeps for a record
+     * @param decoder returns the record, or a {@link LogRecord.Unknown} if this version cannot
+     *     decode it
+     */
+    public HttpLogService(
+            OutboundHttp http,
+            URI base,
+            Function<LogRecord, byte[]> encoder,
+            Function<byte[], LogRecord> decoder) {
         this.http = http;
         this.base = base;
-        this.codec = codec;
+        this.encoder = encoder;
+        this.decoder = decoder;
     }
 
     @Override
     public CompletionStage<Long> append(LogRecord record) {
-        byte[] payload = codec.encode(record);
+        byte[] payload = encoder.apply(record);
         if (payload.length > MAXIMUM_RECORD_BYTES) {
             return CompletableFuture.failedFuture(
                     new PlatformException(
@@ -83,7 +96,7 @@
                     new LogEntry(
                             PlatformJson.longInteger(record, "offset"),
                             PlatformJson.instant(record, "append_time"),
-                            codec.decode(payload(record))));
+                            decoder.apply(payload(record))));
         }
         return new LogPage(
                 PlatformJson.longInteger(body, "first_retained_offset"),
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/TestDaemon.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/TestDaemon.java
@@ -4,10 +4,8 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Map;
-import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.peer.PeerNetwork;
-import org.bergamothoist.daemon.adapter.LogRecordCodec;
 import org.bergamothoist.daemon.operator.SheetFault;
 import org.bergamothoist.daemon.operator.SheetFaultsException;
 import org.bergamothoist.daemon.operator.SheetParser;
@@ -80,7 +78,6 @@
                     .toInstance(
                             (daemon, settings) ->
                                     new PeerTransport(new SilentNetwork(), 4711, () -> {}));
-            bind(LogRecordCodec.class).toInstance(new NoCodec());
             bind(SheetParser.class)
                     .toInstance(
                             csv -> {
@@ -107,18 +104,4 @@
             // The fake router has no peers.
         }
     }
-
-    /** Is never used by the fake router. */
-    private static final class NoCodec implements LogRecordCodec {
-
-        @Override
-        public byte[] encode(LogRecord record) {
-            return new byte[0];
-        }
-
-        @Override
-        public LogRecord decode(byte[] bytes) {
-            return new LogRecord.Unknown("test");
-        }
-    }
 }
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/PlatformAdaptersTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/PlatformAdaptersTest.java
@@ -36,22 +36,13 @@
         http.close();
     }
 
-    /** Encodes a record as its reason. */
-    private static final class TextCodec implements LogRecordCodec {
-
-        @Override
-        public byte[] encode(LogRecord record) {
-            return ((LogRecord.Unknown) record).reason().getBytes();
-        }
-
-        @Override
-        public LogRecord decode(byte[] bytes) {
-            return new LogRecord.Unknown(new String(bytes));
-        }
-    }
-
+    /** Returns a client that encodes a record as its reason. */
     private HttpLogService log(SocketServer server) {
-        return new HttpLogService(http, server.base(), new TextCodec());
+        return new HttpLogService(
+                http,
+                server.base(),
+                record -> ((LogRecord.Unknown) record).reason().getBytes(),
+                bytes -> new LogRecord.Unknown(new String(bytes)));
     }
 
     /** Guards against records or offsets that are misread. */
