Use the HTTP library's names of status codes

Cause: three classes of the daemon declared the same status codes, and OutcomeAnswer and CompletionStream had them as bare numbers.

Change: they use HttpStatus, as the adapters do. No status changes.

Tested: tests of the daemon pass before and after, 132 tests.

Conclusion: no change of behaviour.

--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/CallerResource.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/CallerResource.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import org.apache.hc.core5.http.HttpStatus;
 import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.membership.AddressAnswer;
 import org.bergamothoist.core.node.Router;
@@ -23,9 +24,6 @@
 @Produces(MediaType.APPLICATION_JSON)
 public final class CallerResource {
 
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_FOUND = 404;
-
     private final Router router;
 
     @Inject
@@ -57,7 +55,13 @@
             @HeaderParam(HeaderNames.AUTHORIZATION) String authorization,
             @PathParam("request") String request) {
         return router.cancel(CallerHeaders.key(authorization), requestId(request))
-                .thenApply(found -> Response.status(found ? NO_CONTENT : NOT_FOUND).build());
+                .thenApply(
+                        found ->
+                                Response.status(
+                                                found
+                                                        ? HttpStatus.SC_NO_CONTENT
+                                                        : HttpStatus.SC_NOT_FOUND)
+                                        .build());
     }
 
     private static RequestId requestId(String text) {
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/CompletionStream.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/CompletionStream.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.apache.hc.core5.http.HttpStatus;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.request.CompletionListener;
@@ -34,7 +35,7 @@
     public void onStart(RequestId requestId, ModelKey modelKey, String resumeToken, int nextPiece) {
         started = true;
         connection.head(
-                200,
+                HttpStatus.SC_OK,
                 Map.of(
                         "Content-Type",
                         List.of("text/event-stream"),
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/OutcomeAnswer.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/OutcomeAnswer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.apache.hc.core5.http.HttpStatus;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.request.Outcome;
@@ -16,7 +17,6 @@
 /** The form in which callers are told how a request ended. */
 public final class OutcomeAnswer {
 
-    private static final int OK = 200;
     private static final long MILLISECONDS_PER_SECOND = 1000;
 
     private OutcomeAnswer() {}
@@ -28,20 +28,20 @@
                     REQUEST_IDENTIFIER_REQUIRED,
                     INVALID_RESUME_TOKEN,
                     INVALID_SHEET ->
-                    400;
-            case UNAUTHENTICATED -> 401;
-            case NOT_ENTITLED -> 403;
+                    HttpStatus.SC_BAD_REQUEST;
+            case UNAUTHENTICATED -> HttpStatus.SC_UNAUTHORIZED;
+            case NOT_ENTITLED -> HttpStatus.SC_FORBIDDEN;
             case REQUEST_IDENTIFIER_EXPIRED,
                     REQUEST_ALREADY_CLAIMED,
                     REQUEST_ALREADY_ANSWERED,
                     CANCELLED,
                     SHEET_CONFLICT ->
-                    409;
-            case STREAM_LOST -> 410;
-            case TOO_LARGE -> 413;
-            case REQUEST_QUARANTINED -> 422;
-            case LIMIT_EXCEEDED -> 429;
-            case TARGET_FAILED -> 502;
+                    HttpStatus.SC_CONFLICT;
+            case STREAM_LOST -> HttpStatus.SC_GONE;
+            case TOO_LARGE -> HttpStatus.SC_REQUEST_TOO_LONG;
+            case REQUEST_QUARANTINED -> HttpStatus.SC_UNPROCESSABLE_ENTITY;
+            case LIMIT_EXCEEDED -> HttpStatus.SC_TOO_MANY_REQUESTS;
+            case TARGET_FAILED -> HttpStatus.SC_BAD_GATEWAY;
             case DEADLINE_UNREACHABLE,
                     NO_TARGET,
                     CONFIGURATION_STALE,
@@ -50,9 +50,10 @@
                     RETRY_BUDGET_EXHAUSTED,
                     STOPPING,
                     PLATFORM_UNAVAILABLE ->
-                    503;
-            case DEADLINE_EXCEEDED, TARGET_TIMEOUT -> 504;
-            case INVALID_SETTINGS, INVALID_PEER_MESSAGE, INVARIANT_VIOLATED, INTERNAL -> 500;
+                    HttpStatus.SC_SERVICE_UNAVAILABLE;
+            case DEADLINE_EXCEEDED, TARGET_TIMEOUT -> HttpStatus.SC_GATEWAY_TIMEOUT;
+            case INVALID_SETTINGS, INVALID_PEER_MESSAGE, INVARIANT_VIOLATED, INTERNAL ->
+                    HttpStatus.SC_INTERNAL_SERVER_ERROR;
         };
     }
 
@@ -61,7 +62,9 @@
         if (outcome instanceof Outcome.NotRun notRun) {
             return status(notRun.code());
         }
-        return outcome instanceof Outcome.Unknown unknown ? status(unknown.code()) : OK;
+        return outcome instanceof Outcome.Unknown unknown
+                ? status(unknown.code())
+                : HttpStatus.SC_OK;
     }
 
     /** Returns the JSON body of an outcome. */
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorResource.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/operator/OperatorResource.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
+import org.apache.hc.core5.http.HttpStatus;
 import org.bergamothoist.core.error.BergamothoistException;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.node.NodeStatus;
@@ -40,12 +41,6 @@
     /** Largest sheet, in bytes: 6,100 organisations with some rows each. */
     private static final int MAXIMUM_SHEET_BYTES = 8 * 1024 * 1024;
 
-    private static final int OK = 200;
-    private static final int ACCEPTED = 202;
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_FOUND = 404;
-    private static final int CONFLICT = 409;
-
     private final Router router;
     private final SheetParser parser;
     private final SheetPrinter printer;
@@ -80,7 +75,10 @@
                 .thenApply(
                         found ->
                                 found.map(status -> Response.ok(status).build())
-                                        .orElseGet(() -> Response.status(NOT_FOUND).build()));
+                                        .orElseGet(
+                                                () ->
+                                                        Response.status(HttpStatus.SC_NOT_FOUND)
+                                                                .build()));
     }
 
     /** Returns all organisations as JSON. */
@@ -124,14 +122,14 @@
     public CompletionStage<Response> release(
             @Context ContainerRequestContext request, Release release) {
         return router.releaseQuarantine(fingerprint(release), operator(request).name())
-                .thenApply(done -> Response.status(NO_CONTENT).build());
+                .thenApply(done -> Response.status(HttpStatus.SC_NO_CONTENT).build());
     }
 
     private static int httpStatus(SheetStatus status) {
         return switch (status.reach()) {
-            case IN_FORCE -> OK;
-            case RECORDED -> ACCEPTED;
-            case REFUSED -> CONFLICT;
+            case IN_FORCE -> HttpStatus.SC_OK;
+            case RECORDED -> HttpStatus.SC_ACCEPTED;
+            case REFUSED -> HttpStatus.SC_CONFLICT;
         };
     }
 
