Import types instead of writing their packages in code

Cause: several bodies in core and daemon, mostly tests, wrote qualified names.

Change: imports instead.

Tested: before, tests of the daemon pass (132).

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ServiceEntitlementFilter.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ServiceEntitlementFilter.java
@@ -1,6 +1,7 @@
 package org.bergamothoist.core.filter;
 
 import java.util.Comparator;
+import java.util.Locale;
 import java.util.Optional;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.request.Outcome;
@@ -43,7 +44,7 @@
 
     /** A target could resolve such segments to a path that the sheet does not allow. */
     private static boolean hasPlainPath(String pathAndQuery) {
-        String path = pathOf(pathAndQuery).toLowerCase(java.util.Locale.ROOT);
+        String path = pathOf(pathAndQuery).toLowerCase(Locale.ROOT);
         return !path.contains("/.")
                 && !path.contains("//")
                 && !path.contains("%2f")
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/ArchitectureTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/ArchitectureTest.java
@@ -6,6 +6,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.time.Instant;
 
 /** Guards against decisions that depend on transport, wiring or the system clock. */
 @AnalyzeClasses(
@@ -43,7 +44,7 @@
                     .orShould()
                     .callMethod(System.class, "nanoTime")
                     .orShould()
-                    .callMethod(java.time.Instant.class, "now");
+                    .callMethod(Instant.class, "now");
 
     @ArchTest
     final ArchRule decisionsDoNotDependOnTheNode =
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/CheckpointWriterTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/CheckpointWriterTest.java
@@ -60,7 +60,7 @@
 
     private void addRecords(int count) {
         for (int index = 0; index < count; index++) {
-            log.add(new LogRecord.QuarantineRelease(java.util.List.of(fingerprint(index)), ""));
+            log.add(new LogRecord.QuarantineRelease(List.of(fingerprint(index)), ""));
         }
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStateTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/SharedStateTest.java
@@ -216,7 +216,7 @@
         assertThat(state.isQuarantined(fingerprint(1))).isTrue();
         assertThat(state.isQuarantined(fingerprint(2))).isFalse();
 
-        apply(new LogRecord.QuarantineRelease(java.util.List.of(fingerprint(2)), "completed"));
+        apply(new LogRecord.QuarantineRelease(List.of(fingerprint(2)), "completed"));
         assertThat(state.suspicion(fingerprint(2))).isEmpty();
         now = now.plus(Duration.ofHours(1));
         apply(new LogRecord.Unknown("newer version"));
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/CompletionInterfaceTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -221,8 +223,8 @@
     private static void skipBody(RawClient client) {
         try {
             client.chunks();
-        } catch (java.io.IOException exception) {
-            throw new java.io.UncheckedIOException(exception);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
         }
     }
 
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/RawClient.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/RawClient.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 /** An HTTP client that shows every byte and closes when the test says so. */
 final class RawClient implements AutoCloseable {
@@ -57,7 +58,7 @@
         String head = head();
         int length = 0;
         for (String line : head.split("\n")) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
             }
         }
--- a/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/SocketServer.java
+++ b/bergamothoist-daemon/src/test/java/org/bergamothoist/daemon/adapter/SocketServer.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -122,8 +123,8 @@
                 new TargetId("t1"), kind, "g", "127.0.0.1", server.getLocalPort(), "biel-a");
     }
 
-    java.net.URI base() {
-        return java.net.URI.create("http://127.0.0.1:" + server.getLocalPort());
+    URI base() {
+        return URI.create("http://127.0.0.1:" + server.getLocalPort());
     }
 
     /** Code of a thread that ends when its socket does. */
