Name peers' leaving marks and unlisted peers by what they are

Cause: "hearsay" and "strangers" needed explaining.

Change: PEER_MARK_SUPPRESSION, markLeavingFromPeer, peerMarksIgnoredUntil, MAXIMUM_UNLISTED_PEERS, UNLISTED_PEER_RETENTION, ABSENT_RETENTION, MISSING_BEFORE_REMOVAL. One test method is renamed; its body is the same.

Tested: verify of core passes before and after, 261 tests.

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -35,9 +35,9 @@
 public final class PeerMembership {
 
     /** Daemons outside the roster that are remembered; they join soon or are about to stop. */
-    private static final int MAXIMUM_STRANGERS = 1_024;
+    private static final int MAXIMUM_UNLISTED_PEERS = 1_024;
 
-    private static final Duration FORGET_STRANGERS_AFTER = Duration.ofMinutes(5);
+    private static final Duration UNLISTED_PEER_RETENTION = Duration.ofMinutes(5);
     private static final Duration OUTSTANDING_LIFETIME = Duration.ofSeconds(5);
     private static final Duration MINIMUM_DEMAND_LIFETIME = Duration.ofSeconds(5);
 
@@ -165,7 +165,7 @@
         if (known != null && known.daemon().incarnation() >= daemon.incarnation()) {
             return known.daemon().equals(daemon) ? known : null;
         }
-        boolean full = peers.size() >= roster.order().size() + MAXIMUM_STRANGERS;
+        boolean full = peers.size() >= roster.order().size() + MAXIMUM_UNLISTED_PEERS;
         if (known == null && full && !roster.contains(daemon)) {
             return null;
         }
@@ -191,7 +191,7 @@
         Set<String> addresses = peerAddresses();
         Duration slotLength = slotLength(addresses);
         scheduleTick(slotLength);
-        forgetStrangers();
+        removeExpiredUnlistedPeers();
         reportChanges();
         long slot = schedule.slot(clock.instant(), slotLength);
         String address = schedule.peer(addresses, slot, peersToUse(addresses.size(), slot));
@@ -377,8 +377,8 @@
                 one.promptTokens() + other.promptTokens(), one.streams() + other.streams());
     }
 
-    private void forgetStrangers() {
-        Instant limit = clock.instant().minus(FORGET_STRANGERS_AFTER);
+    private void removeExpiredUnlistedPeers() {
+        Instant limit = clock.instant().minus(UNLISTED_PEER_RETENTION);
         peers.values()
                 .removeIf(
                         peer -> !roster.contains(peer.daemon()) && peer.heardAt().isBefore(limit));
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
@@ -47,9 +47,9 @@
      * Time for which marks of other daemons are ignored after the list has shown a target as live
      * again; longer than their lists can lag behind this one.
      */
-    private static final Duration IGNORE_HEARSAY = Duration.ofSeconds(60);
+    private static final Duration PEER_MARK_SUPPRESSION = Duration.ofSeconds(60);
 
-    private static final Duration FORGET_ABSENT_AFTER = Duration.ofMinutes(10);
+    private static final Duration ABSENT_RETENTION = Duration.ofMinutes(10);
     private static final int MAXIMUM_UNLISTED_MARKS = 10_000;
 
     private final InstantSource clock;
@@ -174,8 +174,8 @@
                         entry.notListed(now);
                     }
                 });
-        entries.values().removeIf(entry -> entry.absentSinceBefore(now.minus(FORGET_ABSENT_AFTER)));
-        unlistedMarks.values().removeIf(at -> at.isBefore(now.minus(IGNORE_HEARSAY)));
+        entries.values().removeIf(entry -> entry.absentSinceBefore(now.minus(ABSENT_RETENTION)));
+        unlistedMarks.values().removeIf(at -> at.isBefore(now.minus(PEER_MARK_SUPPRESSION)));
         reportChanges();
     }
 
@@ -185,16 +185,16 @@
         if (known == null) {
             entry = new TargetEntry(target, Instant.MIN);
             if (unlistedMarks.remove(target.id()) != null) {
-                entry.markLeavingByHearsay(now);
+                entry.markLeavingFromPeer(now);
             }
         } else if (!known.target().equals(target)) {
-            entry = new TargetEntry(target, now.plus(IGNORE_HEARSAY));
+            entry = new TargetEntry(target, now.plus(PEER_MARK_SUPPRESSION));
         }
         entries.put(target.id(), entry);
         if (state == VirtualMachine.State.LEAVING) {
             entry.listedLeaving(now);
         } else {
-            entry.listedLive(now, IGNORE_HEARSAY);
+            entry.listedLive(now, PEER_MARK_SUPPRESSION);
         }
     }
 
@@ -262,7 +262,7 @@
         for (TargetId target : targets) {
             TargetEntry entry = entries.get(target);
             if (entry != null) {
-                entry.markLeavingByHearsay(now);
+                entry.markLeavingFromPeer(now);
                 reportChange(entry, now);
             } else if (unlistedMarks.size() < MAXIMUM_UNLISTED_MARKS) {
                 unlistedMarks.put(target, now);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetEntry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetEntry.java
@@ -22,14 +22,14 @@
     private Instant leavingSince;
     private Instant leavingEvidenceAt = Instant.MIN;
     private Instant absentSince;
-    private Instant ignoreHearsayUntil;
+    private Instant peerMarksIgnoredUntil;
     private Instant retryAt = Instant.MIN;
     private int failures;
     private TargetState reportedState;
 
-    TargetEntry(Target target, Instant ignoreHearsayUntil) {
+    TargetEntry(Target target, Instant peerMarksIgnoredUntil) {
         this.target = target;
-        this.ignoreHearsayUntil = ignoreHearsayUntil;
+        this.peerMarksIgnoredUntil = peerMarksIgnoredUntil;
     }
 
     Target target() {
@@ -70,8 +70,8 @@
         markLeaving(now);
     }
 
-    void markLeavingByHearsay(Instant now) {
-        if (!now.isBefore(ignoreHearsayUntil)) {
+    void markLeavingFromPeer(Instant now) {
+        if (!now.isBefore(peerMarksIgnoredUntil)) {
             markLeaving(now);
         }
     }
@@ -83,12 +83,12 @@
     }
 
     /** Takes in that the list names it as live; a mark ends only after it was absent. */
-    void listedLive(Instant now, Duration ignoreHearsay) {
+    void listedLive(Instant now, Duration peerMarkSuppression) {
         if (absentSince != null) {
             leavingSince = null;
             leavingEvidenceAt = Instant.MIN;
             failures = 0;
-            ignoreHearsayUntil = now.plus(ignoreHearsay);
+            peerMarksIgnoredUntil = now.plus(peerMarkSuppression);
         }
         absentSince = null;
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
@@ -34,7 +34,7 @@
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
 
     /** Time for which a VM must be missing from the list before its daemon is removed. */
-    private static final Duration GONE_AFTER = Duration.ofSeconds(10);
+    private static final Duration MISSING_BEFORE_REMOVAL = Duration.ofSeconds(10);
 
     private final Parts parts;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -47,7 +47,7 @@
 
     NodeLifecycle(Parts parts) {
         this.parts = parts;
-        this.missing = new MissingSince<>(parts.clock(), GONE_AFTER);
+        this.missing = new MissingSince<>(parts.clock(), MISSING_BEFORE_REMOVAL);
     }
 
     /**
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/TargetDirectoryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/membership/TargetDirectoryTest.java
@@ -189,7 +189,7 @@
 
     /** Guards against marks that daemons repeat to each other for ever. */
     @Test
-    void hearsayIsPassedOnOnlyWhileNew() {
+    void peerMarksArePassedOnOnlyWhileNew() {
         directory.observePeerLeaving(List.of(FIRST));
         machines = List.of(live(FIRST, 1), leaving(SECOND, 2));
         scheduler.advance(POLL);
