Document constants and constructors

Cause: constants of membership, node, quarantine and the peer transport had no unit or reason, and public constructors no comment.

Change: doc comments; one first sentence in Router says what resume does.

Tested: verify of core passes before (261 tests); after, test-compile of all modules passes.

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/ClaimController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/claim/ClaimController.java
@@ -83,6 +83,7 @@
         }
     }
 
+    /** Creates a controller and adds it to the tail's listeners. */
     public ClaimController(
             DaemonId self,
             LogService log,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
@@ -73,6 +73,7 @@
         }
     }
 
+    /** Creates a tail that does not read before {@link #start}. */
     public LogTail(
             LogService log,
             SharedState state,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -37,8 +37,13 @@
     /** Daemons outside the roster that are remembered; they join soon or are about to stop. */
     private static final int MAXIMUM_UNLISTED_PEERS = 1_024;
 
+    /** Time after its last message for which a daemon outside the roster is remembered. */
     private static final Duration UNLISTED_PEER_RETENTION = Duration.ofMinutes(5);
+
+    /** Age up to which a peer's outstanding work counts. */
     private static final Duration OUTSTANDING_LIFETIME = Duration.ofSeconds(5);
+
+    /** Age up to which a peer's demand counts in a small fleet. */
     private static final Duration MINIMUM_DEMAND_LIFETIME = Duration.ofSeconds(5);
 
     /**
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
@@ -38,9 +38,16 @@
     /** Time after which sending work to a target that is known to leave is a violation. */
     public static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
 
+    /** Time between two reads of the platform's list while it answers. */
     private static final Duration POLL_PERIOD = Duration.ofSeconds(2);
+
+    /** Time after which a read of the list counts as failed. */
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Doublings of the poll period after failed reads. */
     private static final int MAXIMUM_POLL_DOUBLINGS = 3;
+
+    /** Largest part by which jitter shortens the time to the next poll. */
     private static final double POLL_JITTER = 0.2;
 
     /**
@@ -49,7 +56,10 @@
      */
     private static final Duration PEER_MARK_SUPPRESSION = Duration.ofSeconds(60);
 
+    /** Time for which a target that the list no longer names is kept. */
     private static final Duration ABSENT_RETENTION = Duration.ofMinutes(10);
+
+    /** Leaving marks kept for targets that the list does not name yet. */
     private static final int MAXIMUM_UNLISTED_MARKS = 10_000;
 
     private final InstantSource clock;
@@ -68,6 +78,7 @@
     private int failedReads;
     private boolean running;
 
+    /** Creates a directory without targets; {@link #start} begins to read the list. */
     public TargetDirectory(
             InstantSource clock,
             Scheduler scheduler,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetEntry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetEntry.java
@@ -13,8 +13,13 @@
     /** First-hand knowledge that a target is leaving is current for this time. */
     private static final Duration FIRST_HAND_LIFETIME = Duration.ofSeconds(10);
 
+    /** Time until the next try after the first failed connection, before jitter. */
     private static final Duration MINIMUM_RETRY = Duration.ofMillis(500);
+
+    /** Longest time until the next try, before jitter. */
     private static final Duration MAXIMUM_RETRY = Duration.ofSeconds(15);
+
+    /** Doublings of the time until the next try. */
     private static final int MAXIMUM_DOUBLINGS = 5;
 
     private final Target target;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
@@ -29,8 +29,14 @@
 final class NodeLifecycle {
 
     private static final Logger LOGGER = LogManager.getLogger(NodeLifecycle.class);
+
+    /** Time within which a record that adds or removes a daemon must be confirmed. */
     private static final Duration JOIN_DEADLINE = Duration.ofSeconds(5);
+
+    /** Time within which the record of this daemon's own leaving must be confirmed. */
     private static final Duration LEAVE_DEADLINE = Duration.ofSeconds(2);
+
+    /** Time between two checks whether a stopping daemon still runs requests. */
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
 
     /** Time for which a VM must be missing from the list before its daemon is removed. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/Router.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/Router.java
@@ -24,7 +24,7 @@
     /** Runs a completion. */
     StreamHandle complete(CompletionSubmission submission, CompletionListener listener);
 
-    /** Goes on with a completion. */
+    /** Resumes the stream of a completion. */
     StreamHandle resume(ResumeSubmission submission, CompletionListener listener);
 
     /** Calls a plain service. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
@@ -64,11 +64,22 @@
  */
 public final class RouterNode implements Router {
 
+    /** Time between two runs of the periodic work. */
     private static final Duration TICK = Duration.ofMillis(200);
+
+    /** Ticks after which the work that is done once a second is due. */
     private static final int TICKS_PER_SECOND = 5;
+
+    /** Longest delay of the first read of the log, which spreads daemons that start together. */
     private static final Duration START_JITTER = Duration.ofMillis(200);
+
+    /** Peers asked for a snapshot at once while this daemon has no configuration. */
     private static final int SNAPSHOT_PEERS = 2;
+
+    /** Time within which the append of a record must be confirmed. */
     private static final Duration RECORD_DEADLINE = Duration.ofSeconds(10);
+
+    /** Resource of the lease that allows a daemon to give orders to targets. */
     private static final String ORDERS_RESOURCE = "orders";
 
     private final NodeSettings settings;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/QuarantineController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/QuarantineController.java
@@ -34,7 +34,10 @@
     /** Longest time for which an answer waits until peers know of a loss. */
     static final Duration SPREAD_LIMIT = Duration.ofSeconds(1);
 
+    /** Fingerprints whose losses are kept; the least recently used is removed first. */
     private static final int MAXIMUM_FINGERPRINTS = 10_000;
+
+    /** Losses kept that peers were notified of; the oldest is removed first. */
     private static final int MAXIMUM_LOSSES = 1_000;
 
     private final DaemonId self;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/SheetReach.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/sheet/SheetReach.java
@@ -40,6 +40,7 @@
     /** The state of one sheet. */
     private record Progress(Instant fewLagSince, boolean inForce) {}
 
+    /** Creates a tracker that follows no sheet yet. */
     public SheetReach(InstantSource clock) {
         this.clock = clock;
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/timeline/BoundedTimeline.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/timeline/BoundedTimeline.java
@@ -26,10 +26,16 @@
     private final Deque<Event> events = new ArrayDeque<>();
     private long refusedStamps;
 
+    /** Creates a timeline of {@link #DEFAULT_CAPACITY} events. */
     public BoundedTimeline(DaemonId daemon, InstantSource wallClock) {
         this(daemon, wallClock, DEFAULT_CAPACITY);
     }
 
+    /**
+     * Creates a timeline.
+     *
+     * @param capacity number of events kept, at least 1
+     */
     public BoundedTimeline(DaemonId daemon, InstantSource wallClock, int capacity) {
         if (capacity < 1) {
             throw new IllegalArgumentException("capacity must be at least 1");
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/NettyPeerNetwork.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/NettyPeerNetwork.java
@@ -38,7 +38,11 @@
 public final class NettyPeerNetwork implements PeerNetwork, AutoCloseable {
 
     private static final Logger LOGGER = LogManager.getLogger(NettyPeerNetwork.class);
+
+    /** Threads of the event loops. */
     private static final int THREADS = 2;
+
+    /** Connections that may wait to be accepted. */
     private static final int BACKLOG = 512;
 
     /** Several connections for each daemon of the largest fleet; more are refused. */
@@ -47,6 +51,7 @@
     /** Peers are removed when idle; the bound is several times the largest fleet. */
     private static final int MAXIMUM_PEERS = 2048;
 
+    /** Longest wait for connections and, again, for threads to end, in seconds. */
     private static final long SHUTDOWN_SECONDS = 2;
 
     private final PeerNetworkSettings settings;
@@ -62,6 +67,7 @@
     private volatile PeerReceiver receiver = (sender, address, message) -> {};
     private volatile TransportContext context;
 
+    /** Creates a network that listens and sends after {@link #start}. */
     public NettyPeerNetwork(
             PeerNetworkSettings settings, Timeline timeline, MetricRegistry metrics) {
         this.settings = Objects.requireNonNull(settings);
--- a/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/transport/OutboundPeer.java
+++ b/bergamothoist-protocol/src/main/java/org/bergamothoist/protocol/internal/transport/OutboundPeer.java
@@ -44,9 +44,20 @@
     private static final int MAXIMUM_QUEUED_BYTES = 1 << 20;
 
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+
+    /** Time within which the peer must send its challenge. */
     private static final long CHALLENGE_TIMEOUT_MILLISECONDS = 3_000;
+
+    /** Delay of the first connection attempt after a failure, before doublings and jitter. */
     private static final long MINIMUM_BACKOFF_MILLISECONDS = 100;
+
+    /**
+     * Longest delay of a connection attempt. An authenticated connection that was open for longer
+     * resets the count of failures.
+     */
     private static final long MAXIMUM_BACKOFF_MILLISECONDS = 5_000;
+
+    /** Doublings of the smallest delay, which suffice to reach the longest. */
     private static final int MAXIMUM_DOUBLINGS = 6;
 
     /** Messages that waited longer for a connection are of no more use to anyone. */
@@ -62,6 +73,7 @@
      */
     private static final long MAXIMUM_CONNECTION_AGE_MILLISECONDS = 1_800_000;
 
+    /** Time without a sent byte after which a connection is closed. */
     private static final int IDLE_SECONDS = 600;
 
     private final TransportContext context;
