Split the creation of the filter chains

Change: one method for each chain, with the same filters in the same order; a named constant.

Tested: verify of core, protocol and daemon.

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/DigestComposer.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/DigestComposer.java
@@ -27,6 +27,9 @@
     private static final long STEP_MILLISECONDS = RosterDigest.AGE_STEP.toMillis();
     private static final int AGES_IN_A_BYTE = 2;
 
+    /** Nanoseconds added before a conversion to milliseconds, so that it rounds up. */
+    private static final long NANOSECONDS_BELOW_A_MILLISECOND = 999_999;
+
     /** A digest and its size in bytes, at most. */
     record Sized(RosterDigest digest, int bytes) {}
 
@@ -134,7 +137,7 @@
     }
 
     private static long steps(Duration age) {
-        long milliseconds = age.plusNanos(999_999).toMillis();
+        long milliseconds = age.plusNanos(NANOSECONDS_BELOW_A_MILLISECOND).toMillis();
         return (milliseconds + STEP_MILLISECONDS - 1) / STEP_MILLISECONDS;
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RequestPath.java
@@ -180,34 +180,11 @@
         AuthenticationFilter authentication =
                 new AuthenticationFilter(log.state()::organisationByKeyDigest);
         ClaimFilter claimFilter = new ClaimFilter(log.claims(), environment.timeline());
-        FilterChain<CompletionExchange> completionChain =
-                new FilterChain<>(
-                        List.of(
-                                configurationFilter,
-                                authentication,
-                                new SizeFilter(
-                                        settings.maximumPromptBytes(), settings.maximumTokens()),
-                                new CompletionEntitlementFilter(
-                                        new BlockHasher(settings.blockTokens())),
-                                this::countCompletion,
-                                new QuarantineFilter(quarantine),
-                                new AdmissionFilter(completions, placement::hasRoom),
-                                claimFilter,
-                                completionDispatcher));
-        FilterChain<ServiceExchange> serviceChain =
-                new FilterChain<>(
-                        List.of(
-                                configurationFilter,
-                                authentication,
-                                new ServiceEntitlementFilter(),
-                                this::countService,
-                                new ServiceLimitFilter(services),
-                                claimFilter,
-                                serviceDispatcher));
         return new RequestIntake(
                 new RequestIntake.Parts(
-                        completionChain,
-                        serviceChain,
+                        completionChain(
+                                configurationFilter, authentication, completions, claimFilter),
+                        serviceChain(configurationFilter, authentication, services, claimFilter),
                         new RepeatAwareOutcomeGuard(environment.monitor()),
                         tokenCodec,
                         environment.monitor(),
@@ -218,6 +195,40 @@
                         metrics));
     }
 
+    private FilterChain<CompletionExchange> completionChain(
+            ConfigurationFilter configurationFilter,
+            AuthenticationFilter authentication,
+            AdmissionController admission,
+            ClaimFilter claimFilter) {
+        return new FilterChain<>(
+                List.of(
+                        configurationFilter,
+                        authentication,
+                        new SizeFilter(settings.maximumPromptBytes(), settings.maximumTokens()),
+                        new CompletionEntitlementFilter(new BlockHasher(settings.blockTokens())),
+                        this::countCompletion,
+                        new QuarantineFilter(quarantine),
+                        new AdmissionFilter(admission, placement::hasRoom),
+                        claimFilter,
+                        completionDispatcher));
+    }
+
+    private FilterChain<ServiceExchange> serviceChain(
+            ConfigurationFilter configurationFilter,
+            AuthenticationFilter authentication,
+            AdmissionController admission,
+            ClaimFilter claimFilter) {
+        return new FilterChain<>(
+                List.of(
+                        configurationFilter,
+                        authentication,
+                        new ServiceEntitlementFilter(),
+                        this::countService,
+                        new ServiceLimitFilter(admission),
+                        claimFilter,
+                        serviceDispatcher));
+    }
+
     private void countCompletion(CompletionExchange exchange, Runnable proceed) {
         organisationDemand.add(exchange.organisationId(), 1);
         modelDemand.add(exchange.modelKey(), exchange.estimatedTokens());
