--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
@@ -20,8 +20,8 @@
 import org.awaitility.Awaitility;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.identity.ModelKey;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.node.NodeStatus;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.peer.PeerMessage;
 import org.bergamothoist.core.peer.PeerNetwork;
 import org.bergamothoist.core.timeline.BoundedTimeline;
@@ -78,7 +78,7 @@
     void withoutTheLogOnlyNonIdempotentRequestsAreRefused() throws Exception {
         startAll(DAEMONS);
         platform.log().down();
-        deployment.daemons().forEach(daemon -> await(daemon, Configuration.LOG_OUTAGE));
+        deployment.daemons().forEach(daemon -> await(daemon, ConfigurationState.LOG_OUTAGE));
         assertWhole(complete(LIMIT, CompletionRequest.of(model, "idempotent", 10)));
         CompletionResult booking =
                 complete(
@@ -97,7 +97,7 @@
         DaemonInstance lone = startSeverable();
         platform.log().partition(request -> cutOff.get() && fromSeverable(request.header("Host")));
         cutOff.set(true);
-        await(lone, Configuration.STALE);
+        await(lone, ConfigurationState.STALE);
         CompletionResult refused =
                 CompletionCaller.pinned(transport, caller(SHORT_PATIENCE, address(lone)))
                         .complete(CompletionRequest.of(model, "cut off", 10))
@@ -242,7 +242,7 @@
                 deployment.startDaemon(
                         settings, Modules.override(new ProductionModule()).with(severable()));
         daemon.ready().toCompletableFuture().get(LIMIT.toSeconds(), TimeUnit.SECONDS);
-        await(daemon, Configuration.FRESH);
+        await(daemon, ConfigurationState.FRESH);
         return daemon;
     }
 
@@ -306,7 +306,7 @@
         }
     }
 
-    private static void await(DaemonInstance daemon, Configuration configuration) {
+    private static void await(DaemonInstance daemon, ConfigurationState configuration) {
         Awaitility.await()
                 .atMost(LIMIT)
                 .until(() -> status(daemon).configuration() == configuration);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/TargetDirectory.java
@@ -38,18 +38,28 @@
     /** Time after which sending work to a target that is known to leave is a violation. */
     public static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
 
+    /** Time between two reads of the platform's list while it answers. */
     private static final Duration POLL_PERIOD = Duration.ofSeconds(2);
+
+    /** Time after which a read of the list counts as failed. */
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Doublings of the poll period after failed reads. */
     private static final int MAXIMUM_POLL_DOUBLINGS = 3;
+
+    /** Largest part by which jitter shortens the time to the next poll. */
     private static final double POLL_JITTER = 0.2;
 
     /**
      * Time for which marks of other daemons are ignored after the list has shown a target as live
      * again; longer than their lists can lag behind this one.
      */
-    private static final Duration IGNORE_HEARSAY = Duration.ofSeconds(60);
+    private static final Duration PEER_MARK_SUPPRESSION = Duration.ofSeconds(60);
+
+    /** Time for which a target that the list no longer names is kept. */
+    private static final Duration ABSENT_RETENTION = Duration.ofMinutes(10);
 
-    private static final Duration FORGET_ABSENT_AFTER = Duration.ofMinutes(10);
+    /** Leaving marks kept for targets that the list does not name yet. */
     private static final int MAXIMUM_UNLISTED_MARKS = 10_000;
 
     private final InstantSource clock;
@@ -68,6 +78,7 @@
     private int failedReads;
     private boolean running;
 
+    /** Creates a directory without targets; {@link #start} begins to read the list. */
     public TargetDirectory(
             InstantSource clock,
             Scheduler scheduler,
@@ -174,8 +185,8 @@
                         entry.notListed(now);
                     }
                 });
-        entries.values().removeIf(entry -> entry.absentSinceBefore(now.minus(FORGET_ABSENT_AFTER)));
-        unlistedMarks.values().removeIf(at -> at.isBefore(now.minus(IGNORE_HEARSAY)));
+        entries.values().removeIf(entry -> entry.absentSinceBefore(now.minus(ABSENT_RETENTION)));
+        unlistedMarks.values().removeIf(at -> at.isBefore(now.minus(PEER_MARK_SUPPRESSION)));
         reportChanges();
     }
 
@@ -185,16 +196,16 @@
         if (known == null) {
             entry = new TargetEntry(target, Instant.MIN);
             if (unlistedMarks.remove(target.id()) != null) {
-                entry.markLeavingByHearsay(now);
+                entry.markLeavingFromPeer(now);
             }
         } else if (!known.target().equals(target)) {
-            entry = new TargetEntry(target, now.plus(IGNORE_HEARSAY));
+            entry = new TargetEntry(target, now.plus(PEER_MARK_SUPPRESSION));
         }
         entries.put(target.id(), entry);
         if (state == VirtualMachine.State.LEAVING) {
             entry.listedLeaving(now);
         } else {
-            entry.listedLive(now, IGNORE_HEARSAY);
+            entry.listedLive(now, PEER_MARK_SUPPRESSION);
         }
     }
 
@@ -262,7 +273,7 @@
         for (TargetId target : targets) {
             TargetEntry entry = entries.get(target);
             if (entry != null) {
-                entry.markLeavingByHearsay(now);
+                entry.markLeavingFromPeer(now);
                 reportChange(entry, now);
             } else if (unlistedMarks.size() < MAXIMUM_UNLISTED_MARKS) {
                 unlistedMarks.put(target, now);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLeaseLog.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLeaseLog.java
@@ -4,16 +4,16 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.log.SharedStateSnapshot.LeaseState;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.order.LeaseLog;
 
 /** Leases in this daemon's view of the log. Confined to the control thread. */
 final class NodeLeaseLog implements LeaseLog {
 
     private final SharedLog log;
-    private final Supplier<Configuration> configuration;
+    private final Supplier<ConfigurationState> configuration;
     private final Duration deadline;
 
     /**
@@ -21,7 +21,7 @@
      *
      * @param deadline time after which an append that was not confirmed fails
      */
-    NodeLeaseLog(SharedLog log, Supplier<Configuration> configuration, Duration deadline) {
+    NodeLeaseLog(SharedLog log, Supplier<ConfigurationState> configuration, Duration deadline) {
         this.log = log;
         this.configuration = configuration;
         this.deadline = deadline;
@@ -34,7 +34,7 @@
 
     @Override
     public boolean current() {
-        return configuration.get() == Configuration.FRESH && log.tail().isReachable();
+        return configuration.get() == ConfigurationState.FRESH && log.tail().isReachable();
     }
 
     @Override
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
@@ -11,11 +11,11 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.log.ConfigurationState;
 import org.bergamothoist.core.log.LogAppender;
 import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.log.SharedState;
 import org.bergamothoist.core.log.SharedStateSnapshot.RosterMember;
-import org.bergamothoist.core.node.NodeStatus.Configuration;
 import org.bergamothoist.core.peer.PeerMessage.DaemonStatus;
 import org.bergamothoist.core.platform.VirtualMachine;
 import org.bergamothoist.core.time.Scheduler;
@@ -29,12 +29,18 @@
 final class NodeLifecycle {
 
     private static final Logger LOGGER = LogManager.getLogger(NodeLifecycle.class);
+
+    /** Time within which a record that adds or removes a daemon must be confirmed. */
     private static final Duration JOIN_DEADLINE = Duration.ofSeconds(5);
+
+    /** Time within which the record of this daemon's own leaving must be confirmed. */
     private static final Duration LEAVE_DEADLINE = Duration.ofSeconds(2);
+
+    /** Time between two checks whether a stopping daemon still runs requests. */
     private static final Duration STOP_CHECK = Duration.ofMillis(50);
 
     /** Time for which a VM must be missing from the list before its daemon is removed. */
-    private static final Duration GONE_AFTER = Duration.ofSeconds(10);
+    private static final Duration MISSING_BEFORE_REMOVAL = Duration.ofSeconds(10);
 
     private final Parts parts;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -43,11 +49,11 @@
     private DaemonStatus status = DaemonStatus.STARTING;
     private boolean accepting = true;
     private boolean joining;
-    private Configuration lastConfiguration = Configuration.NONE;
+    private ConfigurationState lastConfiguration = ConfigurationState.NONE;
 
     NodeLifecycle(Parts parts) {
         this.parts = parts;
-        this.missing = new MissingSince<>(parts.clock(), GONE_AFTER);
+        this.missing = new MissingSince<>(parts.clock(), MISSING_BEFORE_REMOVAL);
     }
 
     /**
@@ -60,7 +66,7 @@
             NodeSettings settings,
             SharedState state,
             LogAppender appender,
-            Supplier<Configuration> configuration,
+            Supplier<ConfigurationState> configuration,
             Supplier<List<VirtualMachine>> virtualMachines,
             BooleanSupplier idle,
             Scheduler scheduler,
@@ -89,18 +95,19 @@
         }
     }
 
-    private void noteConfiguration(Configuration configuration) {
+    private void noteConfiguration(ConfigurationState configuration) {
         if (configuration == lastConfiguration) {
             return;
         }
         EventKind kind =
-                configuration == Configuration.STALE
+                configuration == ConfigurationState.STALE
                         ? EventKind.CONFIGURATION_STALE
                         : EventKind.CONFIGURATION_FRESH;
         parts.timeline().record(kind, "configuration", lastConfiguration + " to " + configuration);
         lastConfiguration = configuration;
         boolean usable =
-                configuration == Configuration.FRESH || configuration == Configuration.LOG_OUTAGE;
+                configuration == ConfigurationState.FRESH
+                        || configuration == ConfigurationState.LOG_OUTAGE;
         if (usable && status == DaemonStatus.STARTING) {
             status = DaemonStatus.SERVING;
             parts.timeline().record(EventKind.DAEMON_READY, self().name(), "");
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/ProductionModule.java
@@ -9,21 +9,18 @@
 import org.bergamothoist.core.dispatch.DispatchSettings;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.invariant.CountingInvariantMonitor;
-import org.bergamothoist.core.log.LogRecord;
 import org.bergamothoist.core.node.NodeSettings;
 import org.bergamothoist.core.node.RouterNode;
 import org.bergamothoist.core.placement.PlacementWeights;
 import org.bergamothoist.core.timeline.BoundedTimeline;
 import org.bergamothoist.core.timeline.Timeline;
-import org.bergamothoist.daemon.adapter.LogRecordCodec;
 import org.bergamothoist.daemon.settings.DaemonSettings;
 import org.bergamothoist.protocol.NettyPeerNetwork;
 import org.bergamothoist.protocol.PeerNetworkSettings;
 
 /**
  * Binds the parts of a daemon that other modules provide: the router, the transport between
- * daemons, the codec of log records, parser and printer of sheets. Each daemon needs an instance of
- * its own.
+ * daemons, parser and printer of sheets. Each daemon needs an instance of its own.
  */
 public final class ProductionModule extends AbstractModule {
 
@@ -111,22 +108,4 @@
                         standard.tokenLifetime(),
                         standard.waitForEngine()));
     }
-
-    @Provides
-    @Singleton
-    LogRecordCodec logRecordCodec() {
-        org.bergamothoist.protocol.LogRecordCodec codec =
-                new org.bergamothoist.protocol.LogRecordCodec();
-        return new LogRecordCodec() {
-            @Override
-            public byte[] encode(LogRecord record) {
-                return codec.encode(record);
-            }
-
-            @Override
-            public LogRecord decode(byte[] bytes) {
-                return codec.decode(bytes);
-            }
-        };
-    }
 }
