Return the same stage from each stop; keep streams running until the kill

The test with processes failed on a busy machine because streams of 600 tokens had ended before the process was killed. Change: one stage; streams of 4,000 tokens. Conclusion: the assertions stay as they were.

--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/ProcessesTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/ProcessesTest.java
@@ -48,7 +48,8 @@
     private static final int STREAMS = 8;
 
     /** An answer of this length takes about 4 s, so that faults fall into the middle of it. */
-    private static final int TOKENS = 600;
+    /** Enough for streams to be still running when the process is killed, on a busy machine too. */
+    private static final int TOKENS = 4_000;
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final HttpClient http = HttpClient.newHttpClient();
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/DaemonInstance.java
@@ -55,6 +55,7 @@
     private Server server;
     private PeerTransport transport;
     private CompletableFuture<Void> stopped;
+    private CompletionStage<Void> stoppedStage;
 
     private DaemonInstance(DaemonSettings settings, Module parts) {
         this.settings = settings;
@@ -204,6 +205,8 @@
     public synchronized CompletionStage<Void> stop() {
         if (stopped == null) {
             stopped = new CompletableFuture<>();
+            // Stages made later complete earlier, so that each caller must get the same one.
+            stoppedStage = stopped.minimalCompletionStage();
             Duration limit =
                     settings.timings()
                             .stopDeadline()
@@ -214,7 +217,7 @@
                     .orTimeout(limit.toMillis(), TimeUnit.MILLISECONDS)
                     .whenCompleteAsync(this::routerStopped, closer());
         }
-        return stopped.minimalCompletionStage();
+        return stoppedStage;
     }
 
     /**
