Do not count a resumed stream as new work for its engine

Change: the dispatcher reports resumptions apart, and only the stream counts as load. Conclusion: work that an engine already has may go on until it leaves.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -190,17 +190,15 @@
         completion.begin(attempt);
         exchange.attemptStarted();
         parts.observer().onDispatched(exchange, choice);
-        parts.timeline()
-                .record(
-                        EventKind.REQUEST_DISPATCHED,
-                        exchange.id().toString(),
-                        choice.target().id()
-                                + " attempt "
-                                + attempt.number()
-                                + " predicts "
-                                + choice.predictedCachedBlocks()
-                                + " blocks of incarnation "
-                                + choice.incarnation());
+        String detail =
+                choice.target().id()
+                        + " attempt "
+                        + attempt.number()
+                        + " predicts "
+                        + choice.predictedCachedBlocks()
+                        + " blocks of incarnation "
+                        + choice.incarnation();
+        parts.timeline().record(EventKind.REQUEST_DISPATCHED, exchange.id().toString(), detail);
     }
 
     private void resume(RunningCompletion completion, CompletionExchange.ResumePoint point) {
@@ -217,7 +215,9 @@
         EngineChoice choice = new EngineChoice(target.get(), token.incarnation(), 0, false);
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
-        occupy(completion, choice, attempt);
+        completion.begin(attempt);
+        exchange.attemptStarted();
+        parts.observer().onResumed(exchange, target.get());
         parts.timeline()
                 .record(
                         EventKind.STREAM_RESUMED,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/DispatchObserver.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/DispatchObserver.java
@@ -12,6 +12,12 @@
     /** Reports that a completion is about to be sent. */
     void onDispatched(CompletionExchange exchange, EngineChoice choice);
 
+    /**
+     * Reports that a stream is about to be resumed at the engine that runs it. This is no new work,
+     * so a leaving engine may get it.
+     */
+    void onResumed(CompletionExchange exchange, Target target);
+
     /** Reports the head of an engine's answer. */
     void onAnswerStarted(CompletionExchange exchange, Target target, EngineAnswerStart start);
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -181,6 +181,12 @@
         index.onDispatch(target, exchange.chain());
     }
 
+    @Override
+    public void onResumed(CompletionExchange exchange, Target target) {
+        outstanding.put(exchange, new OutstandingPrompt(target.id(), 0, 0));
+        load.dispatched(target.id(), 0);
+    }
+
     /** A target that failed is tried by one request at a time, at intervals. */
     private void forgetEligibleIfSuspect(TargetId target) {
         boolean suspect =
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -227,6 +227,12 @@
     }
 
     private static final class SilentObserver implements DispatchObserver {
+
+        @Override
+        public void onResumed(CompletionExchange exchange, Target target) {
+            // Not observed.
+        }
+
         @Override
         public void onDispatched(CompletionExchange exchange, EngineChoice choice) {}
 
