--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -238,17 +238,15 @@
         CompletionExchange exchange = completion.exchange();
         exchange.attemptStarted();
         parts.observer().onDispatched(exchange, choice);
-        parts.timeline()
-                .record(
-                        EventKind.REQUEST_DISPATCHED,
-                        exchange.id().toString(),
-                        choice.target().id()
-                                + " attempt "
-                                + attempt.number()
-                                + " predicts "
-                                + choice.predictedCachedBlocks()
-                                + " blocks of incarnation "
-                                + choice.incarnation());
+        String detail =
+                choice.target().id()
+                        + " attempt "
+                        + attempt.number()
+                        + " predicts "
+                        + choice.predictedCachedBlocks()
+                        + " blocks of incarnation "
+                        + choice.incarnation();
+        parts.timeline().record(EventKind.REQUEST_DISPATCHED, exchange.id().toString(), detail);
     }
 
     private void resume(RunningCompletion completion, CompletionExchange.ResumePoint point) {
@@ -266,7 +264,8 @@
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
         completion.begin(attempt);
-        occupy(completion, choice, attempt);
+        exchange.attemptStarted();
+        parts.observer().onResumed(exchange, target.get());
         parts.timeline()
                 .record(
                         EventKind.STREAM_RESUMED,
