--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/CompletionPlacement.java
@@ -190,7 +190,9 @@
 
     @Override
     public void onResumed(CompletionExchange exchange, Target target) {
-        outstanding.put(exchange, new OutstandingPrompt(target.id(), 0, 0));
+        outstanding.put(
+                new PromptAtTarget(exchange, target.id()),
+                new OutstandingPrompt(target.id(), 0, 0));
         load.dispatched(target.id(), 0);
     }
 
