Reach every peer of a small fleet with an announcement

Cause: an announcement took as many slots of the schedule as there are peers. The schedule changes its order between rounds, so that one peer could be named twice and another left out until its next heartbeat. Change: send to all addresses. Before: the new test found a peer that did not hear of the load. After: all peers hear of it within 5 ms.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/membership/PeerMembership.java
@@ -116,13 +116,29 @@
     /** Sends a heartbeat to as many peers as one period allows; for changes of the own status. */
     public void announce() {
         Set<String> addresses = peerAddresses();
+        if (addresses.size() <= settings.allPeersUpTo()) {
+            // The schedule changes its order between rounds, so that as many slots as there are
+            // peers can name one peer twice and leave out another.
+            addresses.forEach(address -> send(address, addresses.size()));
+            return;
+        }
         long slot = schedule.slot(clock.instant(), slotLength(addresses));
-        int count = Math.min(addresses.size(), settings.allPeersUpTo());
+        int count = settings.allPeersUpTo();
         for (int sent = 0; sent < count; sent++) {
             send(schedule.peer(addresses, slot + sent, address -> true), addresses.size());
         }
     }
 
+    /**
+     * Sends a heartbeat to all peers because the own outstanding work has grown much. Does nothing
+     * in a large fleet, where the traffic of heartbeats is bounded.
+     */
+    public void announceLoad() {
+        if (peerAddresses().size() <= settings.allPeersUpTo()) {
+            announce();
+        }
+    }
+
     /**
      * Takes in a heartbeat.
      *
--- a/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/MembershipTest.java
+++ b/bergamothoist-protocol/src/test/java/org/bergamothoist/protocol/MembershipTest.java
@@ -52,6 +52,30 @@
                 .isEqualTo(Map.of(new TargetId("engine-1"), new Outstanding(4_500, 3)));
     }
 
+    /** Guards against daemons that place long prompts at an engine that has just got one. */
+    @Test
+    void announcedLoadReachesAllPeersOfASmallFleetAtOnce() {
+        startAndRun();
+        last.outstanding.put(new TargetId("engine-1"), new Outstanding(48_000, 1));
+        last.membership.announceLoad();
+        fleet.run(Duration.ofMillis(5));
+        assertThat(fleet.members.subList(0, 5))
+                .allSatisfy(
+                        member ->
+                                assertThat(member.membership.peerOutstanding())
+                                        .containsEntry(
+                                                new TargetId("engine-1"),
+                                                new Outstanding(48_000, 1)));
+    }
+
+    /** Guards against announcements above the bound of a large fleet's traffic. */
+    @Test
+    void announcesNoLoadInALargeFleet() {
+        SimulatedFleet larger = new SimulatedFleet(40, 4405, MembershipSettings.defaults());
+        larger.members.get(0).membership.announceLoad();
+        assertThat(larger.heartbeats).isZero();
+    }
+
     /** Guards against work that has ended but is still counted. */
     @Test
     void endedWorkIsNoLongerReported() {
