--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerProtocol.java
@@ -43,6 +43,7 @@
 
     PeerProtocol(Parts parts) {
         this.parts = parts;
+        parts.load().announceWith(parts.membership()::announceLoad);
     }
 
     /** What the protocol works with. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LoadView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/placement/LoadView.java
@@ -18,11 +18,19 @@
 
     private static final double MILLISECONDS_PER_SECOND = 1000.0;
 
+    /**
+     * Seconds of prefill of one prompt from which on the peers are told at once. Until the next
+     * heartbeat they would take the target for idle and place their own long prompts there. A
+     * target computes at most two such prompts a second, which bounds the messages.
+     */
+    private static final double ANNOUNCED_SECONDS = 0.5;
+
     private final LoadSettings settings;
     private final InstantSource clock;
     private final Map<TargetId, TargetLoad> loads = new HashMap<>();
     private final Map<DaemonId, PeerLoad> peers = new HashMap<>();
     private final DecayingRate dispatches;
+    private Runnable announcer = () -> {};
 
     /** Creates a view without any load. */
     public LoadView(LoadSettings settings, InstantSource clock) {
@@ -36,12 +44,20 @@
         return settings;
     }
 
+    /** Sets what tells the peers of {@link #ownOutstanding} when a long prompt was dispatched. */
+    public void announceWith(Runnable action) {
+        announcer = action;
+    }
+
     /** Adds a request whose prompt has this many tokens to compute. */
     public void dispatched(TargetId target, int uncachedTokens) {
         TargetLoad load = load(target);
         load.ownTokens += uncachedTokens;
         load.ownStreams++;
         dispatches.add();
+        if (uncachedTokens >= ANNOUNCED_SECONDS * settings.prefillTokensPerSecond()) {
+            announcer.run();
+        }
     }
 
     /** Takes off the prompt of a dispatched request: its first token has come, or it has failed. */
--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/FakeDaemon.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/FakeDaemon.java
@@ -173,6 +173,11 @@
         admission.pump();
     }
 
+    /** Has announcements of long prompts sent to the daemons, besides heartbeats. */
+    void announceTo(Collection<FakeDaemon> daemons) {
+        load.announceWith(() -> sendHeartbeat(daemons));
+    }
+
     /** Sends the outstanding work to all other daemons. */
     void sendHeartbeat(Collection<FakeDaemon> daemons) {
         Map<TargetId, Outstanding> outstanding = load.ownOutstanding();
--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/Run.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/Run.java
@@ -67,8 +67,10 @@
 
     private FakeDaemon daemon(int number, int incarnation) {
         RandomGenerator own = random.split();
-        return new FakeDaemon(
-                new DaemonId("daemon-" + number, incarnation), context, policy(own), own);
+        DaemonId id = new DaemonId("daemon-" + number, incarnation);
+        FakeDaemon daemon = new FakeDaemon(id, context, policy(own), own);
+        daemon.announceTo(daemons);
+        return daemon;
     }
 
     private PlacementPolicy policy(RandomGenerator own) {
