--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/RequestLedger.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/RequestLedger.java
@@ -32,6 +32,12 @@
         private boolean nonIdempotent;
         private final List<Reception> receptions = new ArrayList<>();
         private final List<Sending> sendings = new ArrayList<>();
+
+        private boolean isOfEarlier(Reception reception, Sending sending) {
+            return sendings.stream()
+                    .filter(other -> other.daemon.equals(reception.daemon))
+                    .anyMatch(other -> other.number < sending.number);
+        }
     }
 
     /** One sending of a request by its caller to one daemon incarnation. */
@@ -40,6 +46,7 @@
         private final int number;
         private Duration ageOnArrival = Duration.ZERO;
         private Outcome outcome;
+        private boolean counted;
 
         private Sending(String daemon, int number) {
             this.daemon = daemon;
@@ -114,8 +121,9 @@
                                 + notRun.code()
                                 + " not run, but "
                                 + reception);
-            } else if (!repeat) {
-                log.count("not-run-of-young-identifier-with-run");
+            } else if (!repeat && !sending.counted && entry.isOfEarlier(reception, sending)) {
+                sending.counted = true;
+                log.count("not-run-of-young-identifier-with-earlier-run");
             }
         }
     }
--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/mutation/Mutation.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/check/mutation/Mutation.java
@@ -30,8 +30,8 @@
     AGELESS_MESSAGES(Property.SHEET_DURABILITY, AgelessMessages::new),
     /** G9: one daemon's fold skips sheets. */
     SKIPPED_SHEET(Property.SHEET_DURABILITY, SkippedSheet::new),
-    /** Engines that load weights report that they are ready. */
-    LOADING_AS_READY(Property.LOADING_BOUND, LoadingAsReady::new);
+    /** Each daemon takes itself for the holder of the lease on orders. */
+    LEASE_WITHOUT_FOLD(Property.LOADING_BOUND, LeaseWithoutFold::new);
 
     private final Property property;
     private final Supplier<Interposition> interposition;
--- a/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/MutationTest.java
+++ b/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/MutationTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import java.util.stream.LongStream;
 import org.bergamothoist.measure.check.mutation.Mutation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -9,6 +12,11 @@
 
 class MutationTest {
 
+    private static final Interposition NONE = new Interposition() {};
+
+    /** Seeds tried for each mutation; some show only in rare orders of events. */
+    private static final int SEEDS = 10;
+
     /** Guards against checks that cannot fail: each deliberate fault must be found. */
     @ParameterizedTest
     @CsvSource({
@@ -17,23 +25,28 @@
         "LOST_PIECE, 1",
         "COLD_START, 1",
         "CROSSED_ANSWERS, 1",
-        "BROKEN_AS_NOT_SENT, 2",
+        "BROKEN_AS_NOT_SENT, 30",
         "CLAIM_WITHOUT_FOLD, 1",
-        "LEAVING_AS_LIVE, 7",
+        "LEAVING_AS_LIVE, 50",
         "HASTY_STOP, 12",
         "AGELESS_MESSAGES, 17",
         "SKIPPED_SHEET, 1",
-        "LOADING_AS_READY, 1"
+        "LEASE_WITHOUT_FOLD, 11"
     })
-    void mutationIsFound(Mutation mutation, long seed) {
-        CheckReport report = RandomisedCheck.runOnce(seed, mutation::create);
-
-        assertThat(report.violations())
-                .extracting(Violation::property)
-                .contains(mutation.property());
-        assertThat(RandomisedCheck.runOnce(seed, () -> new Interposition() {}).violations())
-                .extracting(Violation::property)
-                .doesNotContain(mutation.property());
+    void mutationIsFound(Mutation mutation, long firstSeed) {
+        OptionalLong found =
+                LongStream.range(firstSeed, firstSeed + SEEDS)
+                        .filter(seed -> breaks(seed, mutation::create, mutation.property()))
+                        .findFirst();
+
+        assertThat(found).isPresent();
+        assertThat(breaks(found.getAsLong(), () -> NONE, mutation.property())).isFalse();
+    }
+
+    private static boolean breaks(
+            long seed, Supplier<Interposition> interpositions, Property property) {
+        return RandomisedCheck.runOnce(seed, interpositions).violations().stream()
+                .anyMatch(violation -> violation.property() == property);
     }
 
     /** Guards against traces too long to read: steps without effect must be dropped. */
