--- a/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/MutationTest.java
+++ b/bergamothoist-measure/src/test/java/org/bergamothoist/measure/check/MutationTest.java
@@ -9,8 +9,8 @@
 
 class MutationTest {
 
-    /** Longest search for a run that finds a fault; the rarest is found by 2 of 60 runs. */
-    private static final int MAXIMUM_RUNS = 150;
+    /** Longest search for a run that finds a fault; the rarest is found by 2 of 100 runs. */
+    private static final int MAXIMUM_RUNS = 400;
 
     /**
      * Guards against checks that cannot fail: each deliberate fault must be found by one of the
