Show what the other office changed when a sheet is refused

Cause: a refused submission named organisation, version and office only, and sheet difference showed versions only, although the core can compare contents. Change: both print the core's difference; the command's own comparison is gone. Before: no contents. Conclusion: the office learns what changed without asking the other one.

--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/CommandFactory.java
@@ -36,6 +36,9 @@
         if (type == SheetCheckCommand.class) {
             return type.cast(new SheetCheckCommand(this::parse));
         }
+        if (type == SheetSubmitCommand.class) {
+            return type.cast(new SheetSubmitCommand(this::parse));
+        }
         if (type == SheetDifferenceCommand.class) {
             return type.cast(new SheetDifferenceCommand(this::parse));
         }
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SheetDifferenceCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SheetDifferenceCommand.java
@@ -1,13 +1,10 @@
 package org.bergamothoist.cli;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.Callable;
-import org.bergamothoist.core.identity.OrganisationId;
 import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.core.sheet.SheetDifference;
 import org.bergamothoist.daemon.operator.SheetFaultsException;
 import org.bergamothoist.daemon.operator.SheetParser;
 import picocli.CommandLine.Command;
@@ -49,71 +46,16 @@
             exception.faults().forEach(fault -> spec.commandLine().getErr().println(fault));
             return ExitCodes.REFUSED;
         }
-        List<Difference> differences =
-                differences(entries, parser.parse(daemon.client().csv("/operator/sheets/current")));
-        print(differences);
-        boolean conflict =
-                differences.stream().anyMatch(difference -> difference.kind() == Kind.CONFLICT);
-        return conflict ? ExitCodes.REFUSED : ExitCodes.SUCCESS;
-    }
-
-    private void print(List<Difference> differences) {
+        SheetDifference difference = SheetComparison.compare(entries, daemon.client(), parser);
         Output output = new Output(spec.commandLine().getOut());
         if (json) {
-            output.json(Map.of("differences", differences));
-        } else if (differences.isEmpty()) {
-            output.line("sheet changes nothing");
+            output.json(difference);
         } else {
-            differences.forEach(output::line);
-        }
-    }
-
-    /** Compares a sheet with the current organisations, whose base versions are their versions. */
-    static List<Difference> differences(
-            List<OrganisationEntry> sheet, List<OrganisationEntry> current) {
-        Map<OrganisationId, OrganisationEntry> known = new TreeMap<>();
-        current.forEach(entry -> known.put(entry.organisation(), entry));
-        List<Difference> differences = new ArrayList<>();
-        for (OrganisationEntry entry : sheet) {
-            OrganisationEntry before = known.get(entry.organisation());
-            if (before != null && before.sameContent(entry)) {
-                continue;
-            }
-            long version = before == null ? 0 : before.baseVersion();
-            Kind kind = before == null ? Kind.ADDED : Kind.CHANGED;
-            differences.add(
-                    new Difference(
-                            entry.organisation(),
-                            entry.baseVersion() == version ? kind : Kind.CONFLICT,
-                            entry.baseVersion(),
-                            version));
-        }
-        return differences;
-    }
-
-    /** What would happen to an organisation. */
-    enum Kind {
-        /** It would be new. */
-        ADDED,
-        /** Its content would change. */
-        CHANGED,
-        /** It has changed since the sheet was made, so that the sheet would be refused. */
-        CONFLICT
-    }
-
-    /** A difference of one organisation. */
-    record Difference(
-            OrganisationId organisation, Kind kind, long baseVersion, long currentVersion) {
-
-        @Override
-        public String toString() {
-            return switch (kind) {
-                case ADDED -> organisation + ": added";
-                case CHANGED -> organisation + ": changed";
-                case CONFLICT ->
-                        "%s: conflict, sheet was made from version %d, current version is %d"
-                                .formatted(organisation, baseVersion, currentVersion);
-            };
+            output.text(difference.text());
         }
+        boolean conflict =
+                difference.organisations().stream()
+                        .anyMatch(SheetDifference.OrganisationDifference::isConflict);
+        return conflict ? ExitCodes.REFUSED : ExitCodes.SUCCESS;
     }
 }
--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SheetSubmitCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SheetSubmitCommand.java
@@ -2,7 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.bergamothoist.core.error.BergamothoistException;
+import org.bergamothoist.core.sheet.OrganisationEntry;
+import org.bergamothoist.daemon.operator.SheetParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -17,6 +21,8 @@
         description = "Submits a sheet. Submitting the same sheet again is harmless.")
 final class SheetSubmitCommand implements Callable<Integer> {
 
+    private final SheetParser parser;
+
     private static final int INVALID = 400;
 
     @Spec private CommandSpec spec;
@@ -29,6 +35,10 @@
     @Parameters(paramLabel = "SHEET", description = "CSV file to submit")
     private Path sheet;
 
+    SheetSubmitCommand(SheetParser parser) {
+        this.parser = parser;
+    }
+
     @Override
     public Integer call() {
         DaemonClient.Answer answer =
@@ -42,7 +52,21 @@
         if (!body.has("reach")) {
             throw answer.unexpected();
         }
-        return SheetAnswers.print(body, output, json);
+        int code = SheetAnswers.print(body, output, json);
+        if (code == ExitCodes.REFUSED && !json) {
+            printDifference(output);
+        }
+        return code;
+    }
+
+    /** The operator of one office must see what the other office changed. */
+    private void printDifference(Output output) {
+        try {
+            List<OrganisationEntry> entries = parser.parse(SheetFiles.read(sheet));
+            output.text(SheetComparison.compare(entries, daemon.client(), parser).text());
+        } catch (BergamothoistException exception) {
+            output.line("the difference cannot be shown now: " + exception.getMessage());
+        }
     }
 
     private void printFaults(JsonNode body, Output output) {
--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/BergamothoistCommandTest.java
@@ -233,9 +233,27 @@
                 .isEqualTo(ExitCodes.REFUSED);
         assertThat(out.toString().lines())
                 .containsExactly(
-                        "clinic: changed",
-                        "old: conflict, sheet was made from version 2, current version is 5",
-                        "new: added");
+                        "clinic: version 3",
+                        "  ~ weight: 1 -> 2",
+                        "new: new organisation",
+                        "  + caller key: ",
+                        "  + requests per second: 1",
+                        "  + concurrent streams: 1",
+                        "  + weight: 1",
+                        "old: version 5, but the sheet is based on 2",
+                        "  ~ weight: 1 -> 9");
+    }
+
+    /** Guards against a refusal that does not tell what the other office changed. */
+    @Test
+    void refusedSubmissionShowsWhatTheOtherOfficeChanged() throws Exception {
+        answer("/operator/sheets/current", 200, "clinic,3,7\n");
+        answer("/operator/sheets", 409, STATUS.formatted("refused"));
+        String sheet = file("clinic,1,2\n");
+        assertThat(run("sheet", "submit", sheet, "--daemon", address(), "--key", "k"))
+                .isEqualTo(ExitCodes.REFUSED);
+        assertThat(out.toString())
+                .contains("current version 3 is by office bern", "  ~ weight: 7 -> 2");
     }
 
     /** Guards against a timeline in arrival order, and against silence about a daemon. */
