--- a/bergamothoist-measure/src/main/java/org/bergamothoist/measure/capacity/CapacityMeasurement.java
+++ b/bergamothoist-measure/src/main/java/org/bergamothoist/measure/capacity/CapacityMeasurement.java
@@ -12,6 +12,7 @@
         Meter meter = new Meter();
         new StateSlopes(meter).measure();
         new RequestSlopes(meter).measure();
+        new ClaimSlopes(meter).measure();
         new PeerSlopes(meter).measure();
         new PlacementSlopes(meter).measure();
         return meter.slopes();
