Assert at-most-once and graceful stop inside the daemon

Cause: two guarantees were checked from outside only. Change: before each dispatch of a non-idempotent request the guard checks that the claim is held and that no earlier dispatch may have run; a stop that ends before its deadline must leave no open request. After: core, protocol and measure tests pass, randomised runs with fatal invariants included. Conclusion: only warm restart is still checked from outside alone.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/CompletionDispatcher.java
@@ -252,7 +252,7 @@
         CompletionExchange exchange = completion.exchange();
         ResumeToken token = point.token();
         // The engine has the request already, so that "not run" is ruled out from here on.
-        exchange.attemptStarted();
+        exchange.resumptionStarted();
         exchange.relay().continueFrom(point.nextPiece(), point.deliveredText().orElse(""));
         Optional<Target> target = parts.targets().find(token.target());
         if (target.isEmpty() || point.nextPiece() < token.basePiece()) {
@@ -263,7 +263,7 @@
         int number = exchange.relay().beginAttempt(token.basePiece());
         EngineAttempt attempt = newAttempt(completion, choice, number, true);
         completion.begin(attempt);
-        exchange.attemptStarted();
+        exchange.resumptionStarted();
         parts.observer().onResumed(exchange, target.get());
         parts.timeline()
                 .record(
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ClaimFilter.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/filter/ClaimFilter.java
@@ -82,6 +82,7 @@
             claims.release(key);
             return;
         }
+        exchange.markClaimed();
         exchange.onFinish(
                 outcome -> {
                     if (exchange.mayHaveRun()) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/NodeLifecycle.java
@@ -48,6 +48,7 @@
     private final MissingSince<DaemonId> missing;
     private DaemonStatus status = DaemonStatus.STARTING;
     private boolean accepting = true;
+    private boolean stopDeadlinePassed;
     private boolean joining;
     private ConfigurationState lastConfiguration = ConfigurationState.NONE;
 
@@ -190,13 +191,19 @@
     }
 
     private void awaitIdle(Duration waited) {
-        if (parts.idle().getAsBoolean() || waited.compareTo(parts.settings().stopDeadline()) >= 0) {
+        stopDeadlinePassed = waited.compareTo(parts.settings().stopDeadline()) >= 0;
+        if (parts.idle().getAsBoolean() || stopDeadlinePassed) {
             leave();
             return;
         }
         parts.scheduler().schedule(STOP_CHECK, () -> awaitIdle(waited.plus(STOP_CHECK)));
     }
 
+    /** Returns whether a planned stop no longer waits for requests. */
+    boolean stopDeadlinePassed() {
+        return stopDeadlinePassed;
+    }
+
     private void leave() {
         parts.appender()
                 .append(new LogRecord.DaemonLeft(self(), self()), LEAVE_DEADLINE)
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/RouterNode.java
@@ -488,6 +488,12 @@
     }
 
     private void shutDown() {
+        environment
+                .monitor()
+                .check(
+                        Guarantee.GRACEFUL_STOP,
+                        requests.intake().running().isEmpty() || lifecycle.stopDeadlinePassed(),
+                        () -> requests.intake().running().size() + " requests are cut by a stop");
         running = false;
         membership.stop();
         targets.stop();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/OutcomeGuard.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/OutcomeGuard.java
@@ -4,6 +4,11 @@
 @FunctionalInterface
 public interface OutcomeGuard {
 
+    /** Checks that a request may be sent to a target now; called before each dispatch. */
+    default void beforeAttempt(RequestExchange exchange) {
+        // Guards without a monitor check outcomes only.
+    }
+
     /** Returns the outcome to deliver. */
     Outcome check(RequestExchange exchange, Outcome proposed);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RepeatAwareOutcomeGuard.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RepeatAwareOutcomeGuard.java
@@ -24,6 +24,14 @@
         this.monitor = monitor;
     }
 
+    @Override
+    public void beforeAttempt(RequestExchange exchange) {
+        monitor.check(
+                Guarantee.AT_MOST_ONCE,
+                exchange.idempotent() || exchange.claimed() && !exchange.mayHaveRun(),
+                () -> "non-idempotent request " + exchange.id() + " is sent again or unclaimed");
+    }
+
     @Override
     public Outcome check(RequestExchange exchange, Outcome proposed) {
         if (!(proposed instanceof Outcome.NotRun notRun)) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RequestExchange.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/request/RequestExchange.java
@@ -29,6 +29,7 @@
     private boolean idempotent;
     private boolean repeatable;
     private OrganisationState organisation;
+    private boolean claimed;
     private int attemptsThatMayHaveRun;
     private Outcome outcome;
 
@@ -131,8 +132,24 @@
     /** Returns the work that the request asks for, in tokens, at least 1. */
     public abstract int estimatedTokens();
 
+    /** Notes that this daemon holds the claim on the request's only run. */
+    public final void markClaimed() {
+        claimed = true;
+    }
+
+    /** Returns whether this daemon holds the claim on the request's only run. */
+    public final boolean claimed() {
+        return claimed;
+    }
+
     /** Notes that a dispatch starts; from now on bytes may have left for a target. */
     public final void attemptStarted() {
+        outcomeGuard.beforeAttempt(this);
+        attemptsThatMayHaveRun++;
+    }
+
+    /** Notes that an earlier dispatch, which a target already has, is resumed. */
+    public final void resumptionStarted() {
         attemptsThatMayHaveRun++;
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/dispatch/DispatchFixture.java
@@ -164,6 +164,7 @@
                 new BlockHasher(4).chain(ORGANISATION, KEY, submission.prompt()),
                 FingerprintCalculator.ofPrompt(
                         ORGANISATION, KEY, prompt.getBytes(StandardCharsets.UTF_8)));
+        exchange.markClaimed();
         relay.request(1_000);
         dispatcher.apply(exchange, () -> {});
         caller.exchange = exchange;
