Remove the unused register of running service calls

Cause: the request intake keeps the accepted requests and cancels them; the service dispatcher kept its own set that nothing read. Change: the set and its two accessors are gone; behaviour is the same. Before: each call was added to and removed from two sets. After: one; the core's tests pass and all modules compile. Conclusion: the intake is the only register.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/ServiceDispatcher.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/dispatch/ServiceDispatcher.java
@@ -2,17 +2,14 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.bergamothoist.core.error.ErrorCode;
-import org.bergamothoist.core.identity.RequestId;
 import org.bergamothoist.core.identity.TargetId;
 import org.bergamothoist.core.platform.EngineStream;
 import org.bergamothoist.core.platform.ServiceCall;
@@ -39,7 +36,6 @@
     private final Scheduler scheduler;
     private final int maximumAttempts;
     private final Duration answerTimeout;
-    private final Set<ServiceExchange> running = new LinkedHashSet<>();
     private final Map<TargetId, Integer> outstanding = new HashMap<>();
 
     /** Creates a dispatcher. */
@@ -61,21 +57,9 @@
 
     @Override
     public void apply(ServiceExchange exchange, Runnable proceed) {
-        running.add(exchange);
-        exchange.onFinish(outcome -> running.remove(exchange));
         dispatch(exchange, new HashSet<>(), 0);
     }
 
-    /** Returns a running call. */
-    public Optional<ServiceExchange> find(RequestId id) {
-        return running.stream().filter(exchange -> exchange.id().equals(id)).findFirst();
-    }
-
-    /** Returns all running calls. */
-    public Collection<ServiceExchange> running() {
-        return List.copyOf(running);
-    }
-
     /** Returns the calls that this daemon has running at a target. */
     public int outstanding(TargetId target) {
         return outstanding.getOrDefault(target, 0);
