--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines about decisions, for explaining a failure afterwards. */
+package org.bergamothoist.core.decision;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheScope.java
@@ -0,0 +1,24 @@
+package org.bergamothoist.core.prefix;
+
+import org.bergamothoist.core.route.Organisation;
+
+/**
+ * Separates cached parts: engines find a part only under the scope in which it was made.
+ *
+ * @param key differs between isolated organisations, models and versions of weights
+ */
+public record CacheScope(String key) {
+
+    private static final String COMMON = "common";
+
+    /**
+     * Returns the scope of an organisation's requests.
+     *
+     * @param organisation null for callers without one
+     */
+    public static CacheScope of(Organisation organisation, String model, int weightVersion) {
+        boolean isolated = organisation != null && organisation.isolated();
+        String owner = isolated ? "organisation-" + organisation.name() : COMMON;
+        return new CacheScope(owner + "." + model + "." + weightVersion);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -0,0 +1,23 @@
+package org.bergamothoist.core.prefix;
+
+/**
+ * Figures by which engines are compared, in milliseconds of predicted time to the first token.
+ *
+ * @param prefillTokensPerMillisecond prompt tokens that an engine reads in a millisecond; from the
+ *     users' description of their engines
+ * @param running added for each request that runs at the engine; from the same description
+ * @param outdatedWeights penalty for an engine whose weights are not the newest: answers on old
+ *     weights lose a fifth of their value
+ * @param failure penalty for an engine that fails all its requests
+ * @param otherDataCentre penalty for bytes between data centres
+ */
+public record EngineCosts(
+        double prefillTokensPerMillisecond,
+        double running,
+        double outdatedWeights,
+        double failure,
+        double otherDataCentre) {
+
+    /** The figures of the first users' engines. */
+    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 150, 2_000, 3);
+}
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/ServiceDefinition.java
@@ -0,0 +1,14 @@
+package org.bergamothoist.core.route;
+
+import java.util.Optional;
+
+/**
+ * A service that requests are routed to, or a store of KV cache.
+ *
+ * @param connectionLimit connections that each target accepts from all daemons together
+ */
+public record ServiceDefinition(
+        String name,
+        int connectionLimit,
+        Optional<EngineTraits> engine,
+        Optional<CacheStoreTraits> cacheStore) {}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -0,0 +1,417 @@
+package org.bergamothoist.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.DoubleSupplier;
+import java.util.random.RandomGenerator;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.feed.Feed;
+import org.bergamothoist.core.feed.FeedFollower;
+import org.bergamothoist.core.feed.FeedMirror;
+import org.bergamothoist.core.feed.FeedSource;
+import org.bergamothoist.core.fleet.ServicePlacement;
+import org.bergamothoist.core.gossip.DaemonReport;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.lease.OrderLease;
+import org.bergamothoist.core.limit.RetryBudget;
+import org.bergamothoist.core.prefix.EngineCosts;
+import org.bergamothoist.core.prefix.EnginePlacement;
+import org.bergamothoist.core.relay.AttemptPolicy;
+import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.core.time.SteadyClock;
+import org.bergamothoist.gateway.caller.CallerServer;
+import org.bergamothoist.gateway.caller.Dispatcher;
+import org.bergamothoist.gateway.caller.ExchangeServices;
+import org.bergamothoist.gateway.caller.RelayMetrics;
+import org.bergamothoist.gateway.caller.RequestFilters;
+import org.bergamothoist.gateway.client.ConnectionPool;
+import org.bergamothoist.gateway.client.HttpCaller;
+import org.bergamothoist.gateway.control.MetricsPage;
+import org.bergamothoist.gateway.control.RecordRelay;
+import org.bergamothoist.gateway.control.ReportLink;
+import org.bergamothoist.gateway.control.SideServer;
+import org.bergamothoist.gateway.control.StructuredDecisionLog;
+import org.bergamothoist.gateway.control.WeightRollout;
+import org.bergamothoist.gateway.state.BeliefUpdater;
+import org.bergamothoist.gateway.state.Beliefs;
+
+/** One daemon: wires its parts, starts them and stops them. All parts run on one event loop. */
+public final class Gateway implements PlatformAdapter.Questions {
+
+    /** Time for a connection to a target: many times the way between data centres. */
+    private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Time for which an idle connection is kept if its peer states none. */
+    private static final Duration IDLE_TIME = Duration.ofSeconds(4);
+
+    /** Time by which a connection is given up before its peer closes it. */
+    private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
+
+    /** Time for a connection to the store or another daemon. */
+    private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofMillis(700);
+
+    /** A change of the configuration has to be in force within two seconds. */
+    private static final FeedFollower.Pace OPERATOR_PACE =
+            new FeedFollower.Pace(Duration.ofMillis(20), Duration.ofMillis(1_400));
+
+    /** A leaving target gets no new work after two seconds; most reads return at once. */
+    private static final FeedFollower.Pace TARGETS_PACE =
+            new FeedFollower.Pace(Duration.ofMillis(600), Duration.ofMillis(700));
+
+    /** Daemons find each other by their reports; the feed is only for those that start. */
+    private static final FeedFollower.Pace DAEMONS_PACE =
+            new FeedFollower.Pace(Duration.ofSeconds(10), Duration.ZERO);
+
+    /** Interval between checks of lapsed registrations. */
+    private static final Duration LAPSE_CHECK = Duration.ofMillis(250);
+
+    /** Pause before the own address is published again after a failure. */
+    private static final Duration PUBLISH_PAUSE = Duration.ofMillis(500);
+
+    /** Time after the signal to stop in which requests are still taken: callers keep answers. */
+    private static final Duration STILL_ACCEPTING = Duration.ofMillis(3_000);
+
+    /** Time before the kill at which the daemon ends whatever is in progress. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(400);
+
+    private static final Duration STOP_CHECK = Duration.ofMillis(100);
+
+    /** Most addresses in an answer to a caller. */
+    private static final int MOST_ADDRESSES = 64;
+
+    /** Repeats that a daemon saves up: its share of what is allowed at once to six daemons. */
+    private static final int RETRY_RESERVE = 8;
+
+    private final GatewaySettings settings;
+    private final EventLoop eventLoop;
+    private final MultiThreadIoEventLoopGroup group;
+    private final Scheduler scheduler;
+    private final InstantSource clock;
+    private final DoubleSupplier random;
+    private final MetricRegistry metrics;
+    private final DecisionLog log;
+    private final DaemonId self;
+    private final Beliefs beliefs;
+    private final PlatformAdapter.Store store;
+    private final BeliefUpdater updater;
+    private final FeedFollower operatorFeed;
+    private final FeedFollower targetsFeed;
+    private final FeedFollower daemonsFeed;
+    private final CallerServer callers;
+    private final SideServer readiness;
+    private final SideServer directory;
+    private final SideServer peers;
+    private final SideServer metricsServer;
+    private final ReportLink reports;
+    private final RecordRelay relay;
+    private final OrderLease lease;
+    private final WeightRollout rollout;
+    private long reportSequence;
+    private boolean stopping;
+    private boolean refusing;
+
+    private Gateway(GatewaySettings settings, PlatformAdapter platform) {
+        this.settings = settings;
+        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.eventLoop = (EventLoop) group.next();
+        this.scheduler = new EventLoopScheduler(eventLoop);
+        this.clock = new SteadyClock();
+        this.random = RandomGenerator.getDefault()::nextDouble;
+        this.metrics = new MetricRegistry();
+        this.log = new StructuredDecisionLog(settings.daemon(), InstantSource.system(), metrics);
+        this.self = new DaemonId(settings.daemon(), clock.millis());
+        this.beliefs = Beliefs.empty(self, clock);
+
+        ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
+        HttpCaller controlCaller =
+                new HttpCaller(pool("control", CONTROL_CONNECT_TIMEOUT), eventLoop);
+        this.store = platform.store(settings.store(), controlCaller);
+        this.updater = new BeliefUpdater(beliefs, platform.decoder(), targets, clock, log);
+        FeedMirror mirror = new FeedMirror(updater);
+        this.operatorFeed = follower(Feed.OPERATOR, OPERATOR_PACE, mirror);
+        this.targetsFeed = follower(Feed.TARGETS, TARGETS_PACE, mirror);
+        this.daemonsFeed = follower(Feed.DAEMONS, DAEMONS_PACE, mirror);
+
+        this.callers =
+                new CallerServer(
+                        eventLoop, exchangeServices(platform, targets), beliefs.configuration());
+        this.readiness = new SideServer(eventLoop, platform.readinessHandlers(this), log);
+        this.directory = new SideServer(eventLoop, platform.directoryHandlers(this), log);
+        this.reports = new ReportLink(beliefs, this::report, eventLoop, scheduler, clock, log);
+        this.relay =
+                new RecordRelay(
+                        mirror,
+                        beliefs.daemons(),
+                        controlCaller,
+                        () -> !isStoreReachable(),
+                        scheduler,
+                        random,
+                        log);
+        this.peers =
+                new SideServer(
+                        eventLoop,
+                        Map.of(RecordRelay.PATH, (parameters, body) -> relay.answer(body)),
+                        log);
+        MetricsPage page = new MetricsPage(metrics);
+        this.metricsServer =
+                new SideServer(
+                        eventLoop, Map.of("/metrics", (parameters, body) -> page.answer()), log);
+        this.lease =
+                new OrderLease(
+                        self.name(),
+                        store.orderLease(),
+                        Duration.ofMillis(settings.orderLeaseMilliseconds()),
+                        clock,
+                        log);
+        this.rollout =
+                new WeightRollout(
+                        self.name(),
+                        beliefs,
+                        platform.engineOrders(controlCaller),
+                        lease,
+                        reports::reportSoon,
+                        scheduler,
+                        clock,
+                        log);
+    }
+
+    private ConnectionPool pool(String name, Duration connectTimeout) {
+        return new ConnectionPool(
+                name,
+                eventLoop,
+                clock,
+                new ConnectionPool.Settings(connectTimeout, IDLE_TIME, IDLE_MARGIN),
+                metrics);
+    }
+
+    private ExchangeServices exchangeServices(PlatformAdapter platform, ConnectionPool targets) {
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        beliefs,
+                        new ServicePlacement(
+                                settings.dataCentre(), beliefs.targetStates(), clock, random),
+                        new EnginePlacement(
+                                settings.dataCentre(),
+                                beliefs.targetStates(),
+                                beliefs.heldParts(),
+                                EngineCosts.STANDARD,
+                                clock),
+                        random);
+        RequestFilters filters =
+                new RequestFilters(beliefs.configuration(), () -> refusing, random);
+        return new ExchangeServices(
+                filters.chain(),
+                dispatcher,
+                new AttemptPolicy(new RetryBudget(settings.retryShare(), RETRY_RESERVE)),
+                targets,
+                platform.dialect(),
+                new RelayMetrics(metrics),
+                scheduler,
+                clock,
+                random,
+                log);
+    }
+
+    private FeedFollower follower(Feed feed, FeedFollower.Pace pace, FeedMirror mirror) {
+        return new FeedFollower(feed, store, pace, scheduler, random, new FeedObserver(mirror));
+    }
+
+    /** Starts a daemon; throws {@link GatewayException} if an address cannot be bound. */
+    public static Gateway start(GatewaySettings settings, PlatformAdapter platform) {
+        Gateway gateway = new Gateway(settings, platform);
+        CompletableFuture<Void> listening = new CompletableFuture<>();
+        gateway.eventLoop.execute(
+                () -> {
+                    try {
+                        gateway.begin(listening);
+                    } catch (RuntimeException exception) {
+                        listening.completeExceptionally(exception);
+                    }
+                });
+        listening.join();
+        return gateway;
+    }
+
+    private void begin(CompletableFuture<Void> listening) {
+        List<ChannelFuture> bound =
+                List.of(
+                        callers.listen(ConnectionPool.socketAddress(settings.callers())),
+                        readiness.listen(ConnectionPool.socketAddress(settings.readiness())),
+                        directory.listen(ConnectionPool.socketAddress(settings.directory())),
+                        peers.listen(ConnectionPool.socketAddress(settings.peers())),
+                        metricsServer.listen(ConnectionPool.socketAddress(settings.metrics())),
+                        reports.open(ConnectionPool.socketAddress(settings.peers())));
+        bound.forEach(
+                future ->
+                        future.addListener(
+                                done -> {
+                                    if (!done.isSuccess()) {
+                                        listening.completeExceptionally(done.cause());
+                                    } else if (bound.stream().allMatch(ChannelFuture::isSuccess)) {
+                                        listening.complete(null);
+                                    }
+                                }));
+        settings.seeds().forEach(beliefs.daemons()::hearOf);
+        operatorFeed.start();
+        targetsFeed.start();
+        publish();
+        relay.start();
+        rollout.start();
+        checkLapsed();
+        log.write(
+                DecisionKind.DAEMON_STARTED,
+                self.toString(),
+                () -> "callers=" + settings.callers() + " store=" + settings.store(),
+                "listening");
+    }
+
+    /** Publishes the own address before reading others', so that of two daemons one sees both. */
+    private void publish() {
+        store.publish(self.name(), settings.peers())
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure == null) {
+                                daemonsFeed.start();
+                            } else {
+                                scheduler.schedule(PUBLISH_PAUSE, this::publish);
+                            }
+                        });
+    }
+
+    private void checkLapsed() {
+        updater.dropLapsed();
+        scheduler.schedule(LAPSE_CHECK, this::checkLapsed);
+    }
+
+    private boolean isStoreReachable() {
+        return operatorFeed.isReachable() && targetsFeed.isReachable();
+    }
+
+    private DaemonReport report() {
+        Instant now = clock.instant();
+        return new DaemonReport(
+                self,
+                ++reportSequence,
+                settings.callers(),
+                settings.peers(),
+                settings.dataCentre(),
+                isReady(),
+                isStoreReachable(),
+                lease.isHolder(),
+                beliefs.configuration().version(),
+                ReportLink.targetReports(beliefs, now));
+    }
+
+    @Override
+    public boolean isReady() {
+        return !stopping && beliefs.isInformed();
+    }
+
+    @Override
+    public List<String> addresses(String dataCentre) {
+        Optional<String> own = isReady() ? Optional.of(settings.callers()) : Optional.empty();
+        return beliefs.daemons()
+                .callerAddresses(own, settings.dataCentre(), dataCentre, MOST_ADDRESSES);
+    }
+
+    /** Notes that the settings file may have changed; its addresses count from the next start. */
+    public void settingsChanged() {
+        eventLoop.execute(
+                () ->
+                        log.write(
+                                DecisionKind.SETTINGS_RELOADED,
+                                self.toString(),
+                                () -> "signal",
+                                "settings stay until the next start"));
+    }
+
+    /** Stops: takes no new callers, finishes what is in progress, and completes the stage. */
+    public CompletionStage<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        eventLoop.execute(() -> beginStop(stopped));
+        return stopped;
+    }
+
+    private void beginStop(CompletableFuture<Void> stopped) {
+        if (stopping) {
+            return;
+        }
+        Instant signalledAt = clock.instant();
+        stopping = true;
+        callers.closeAfterAnswers();
+        reports.reportSoon();
+        log.write(
+                DecisionKind.DAEMON_STOPPING,
+                self.toString(),
+                () -> "requests=" + callers.busyConnections(),
+                "not ready");
+        scheduler.schedule(
+                STILL_ACCEPTING,
+                () -> {
+                    refusing = true;
+                    callers.stopListening();
+                    finish(signalledAt, stopped);
+                });
+    }
+
+    private void finish(Instant signalledAt, CompletableFuture<Void> stopped) {
+        Duration grace = Duration.ofMillis(Math.round(settings.graceSeconds() * 1_000));
+        boolean late = !clock.instant().isBefore(signalledAt.plus(grace).minus(STOP_MARGIN));
+        long busy = callers.busyConnections();
+        if (busy > 0 && !late) {
+            scheduler.schedule(STOP_CHECK, () -> finish(signalledAt, stopped));
+            return;
+        }
+        log.write(
+                DecisionKind.DAEMON_STOPPED, self.toString(), () -> "requests=" + busy, "stopped");
+        stopped.complete(null);
+    }
+
+    /** Brings what was read to the mirror, and notes losses of the store. */
+    private final class FeedObserver implements FeedFollower.Observer {
+
+        private final FeedMirror mirror;
+
+        private FeedObserver(FeedMirror mirror) {
+            this.mirror = mirror;
+        }
+
+        @Override
+        public void onListing(Feed feed, FeedSource.Listing listing) {
+            mirror.apply(feed, listing);
+        }
+
+        @Override
+        public void onPage(Feed feed, FeedSource.Page page) {
+            mirror.apply(feed, page.records());
+        }
+
+        @Override
+        public void onLost(Feed feed, Throwable cause) {
+            if (feed == Feed.TARGETS) {
+                beliefs.targets().sourceLost();
+            }
+            log.write(DecisionKind.DEPENDENCY_LOST, "store", () -> feed + ": " + cause, "not read");
+        }
+
+        @Override
+        public void onRegained(Feed feed) {
+            if (feed == Feed.TARGETS) {
+                beliefs.targets().sourceRegained();
+            }
+            log.write(DecisionKind.DEPENDENCY_REGAINED, "store", () -> "" + feed, "read");
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
@@ -0,0 +1,114 @@
+package org.bergamothoist.gateway;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.bergamothoist.core.error.ErrorCode;
+
+/**
+ * Settings of a gateway daemon, read from JSON. Addresses are an IP address and a port.
+ *
+ * @param daemon name of the daemon
+ * @param dataCentre where it is
+ * @param callers address for callers
+ * @param readiness address for checks of readiness
+ * @param directory address where callers ask for addresses
+ * @param peers address for other daemons, over TCP and UDP
+ * @param metrics address of counters and histograms
+ * @param seeds addresses of other daemons; may be stale
+ * @param store address of the platform's store
+ * @param orderLeaseMilliseconds least time between the orders of two daemons
+ * @param graceSeconds time from the signal to stop until the process is killed
+ * @param retryShare share of requests that may be sent once more, over all daemons
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record GatewaySettings(
+        @JsonProperty("daemon") String daemon,
+        @JsonProperty("data_centre") String dataCentre,
+        @JsonProperty("callers") String callers,
+        @JsonProperty("readiness") String readiness,
+        @JsonProperty("directory") String directory,
+        @JsonProperty("peers") String peers,
+        @JsonProperty("metrics") String metrics,
+        @JsonProperty("seeds") List<String> seeds,
+        @JsonProperty("store") String store,
+        @JsonProperty("order_lease_milliseconds") long orderLeaseMilliseconds,
+        @JsonProperty("grace_seconds") double graceSeconds,
+        @JsonProperty("retry_share") double retryShare) {
+
+    private static final int LARGEST_PORT = 65_535;
+
+    public GatewaySettings {
+        seeds = seeds == null ? List.of() : List.copyOf(seeds);
+    }
+
+    /** Reads and checks a settings file; throws {@link GatewayException} that names each fault. */
+    public static GatewaySettings read(Path file) {
+        GatewaySettings settings;
+        try {
+            settings = new ObjectMapper().readValue(Files.readString(file), GatewaySettings.class);
+        } catch (JsonProcessingException exception) {
+            throw new GatewayException(
+                    ErrorCode.INVALID_SETTINGS,
+                    file + ": " + exception.getOriginalMessage(),
+                    exception);
+        } catch (IOException exception) {
+            throw new GatewayException(
+                    ErrorCode.INVALID_SETTINGS, file + " cannot be read", exception);
+        }
+        List<String> faults = settings.faults();
+        if (!faults.isEmpty()) {
+            throw new GatewayException(
+                    ErrorCode.INVALID_SETTINGS, file + ": " + String.join("; ", faults));
+        }
+        return settings;
+    }
+
+    /** Returns every fault with its key. */
+    public List<String> faults() {
+        List<String> faults = new ArrayList<>();
+        checkText(faults, "daemon", daemon);
+        checkText(faults, "data_centre", dataCentre);
+        checkAddress(faults, "callers", callers);
+        checkAddress(faults, "readiness", readiness);
+        checkAddress(faults, "directory", directory);
+        checkAddress(faults, "peers", peers);
+        checkAddress(faults, "metrics", metrics);
+        checkAddress(faults, "store", store);
+        seeds.forEach(seed -> checkAddress(faults, "seeds", seed));
+        if (orderLeaseMilliseconds <= 0) {
+            faults.add("order_lease_milliseconds: must be above 0");
+        }
+        if (graceSeconds <= 0) {
+            faults.add("grace_seconds: must be above 0");
+        }
+        if (retryShare < 0 || retryShare > 1) {
+            faults.add("retry_share: must be from 0 to 1");
+        }
+        return faults;
+    }
+
+    private static void checkText(List<String> faults, String key, String value) {
+        if (value == null || value.isBlank()) {
+            faults.add(key + ": missing");
+        }
+    }
+
+    private static void checkAddress(List<String> faults, String key, String value) {
+        if (value == null || value.isBlank()) {
+            faults.add(key + ": missing");
+            return;
+        }
+        int colon = value.lastIndexOf(':');
+        boolean valid = colon > 0 && value.substring(colon + 1).matches("\\d{1,5}");
+        if (!valid || Integer.parseInt(value.substring(colon + 1)) > LARGEST_PORT) {
+            faults.add(key + ": '" + value + "' is not an IP address and a port");
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlatformAdapter.java
@@ -0,0 +1,58 @@
+package org.bergamothoist.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.feed.FeedSource;
+import org.bergamothoist.core.lease.LeaseTopic;
+import org.bergamothoist.gateway.client.HttpCaller;
+import org.bergamothoist.gateway.control.EngineOrders;
+import org.bergamothoist.gateway.control.SideServer;
+import org.bergamothoist.gateway.state.RecordDecoder;
+import org.bergamothoist.gateway.wire.WireDialect;
+
+/** What a gateway needs of the platform that it runs on. */
+public interface PlatformAdapter {
+
+    /** Returns the reader and writer of headers. */
+    WireDialect dialect();
+
+    /** Returns the reader of the store's records. */
+    RecordDecoder decoder();
+
+    /** Opens the store at an address. */
+    Store store(String address, HttpCaller caller);
+
+    /** Returns the way to order engines. */
+    EngineOrders engineOrders(HttpCaller caller);
+
+    /** The platform's store. */
+    interface Store extends FeedSource {
+
+        /** Returns the log of the lease on orders. */
+        LeaseTopic orderLease();
+
+        /** Publishes where other daemons reach this one. */
+        CompletionStage<Void> publish(String daemon, String peerAddress);
+    }
+
+    /** What callers and the platform may ask a daemon besides requests. */
+    interface Questions {
+
+        /** Returns whether the daemon takes requests. */
+        boolean isReady();
+
+        /**
+         * Returns addresses to connect to.
+         *
+         * @param dataCentre where the asking caller is
+         */
+        List<String> addresses(String dataCentre);
+    }
+
+    /** Returns the handlers of checks of readiness, by path. */
+    Map<String, SideServer.SideHandler> readinessHandlers(Questions questions);
+
+    /** Returns the handlers of questions for addresses, by path. */
+    Map<String, SideServer.SideHandler> directoryHandlers(Questions questions);
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -0,0 +1,270 @@
+package org.bergamothoist.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.fleet.TargetState;
+import org.bergamothoist.core.relay.AttemptResult;
+import org.bergamothoist.gateway.client.AnswerListener;
+import org.bergamothoist.gateway.client.ClientConnection;
+import org.bergamothoist.gateway.wire.AnswerHead;
+
+/** One sending of a request to one target. Confined to the event loop. */
+final class Attempt implements AnswerListener {
+
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final ExchangeServices services;
+    private final Dispatcher.Dispatch dispatch;
+    private final Exchange exchange;
+    private ClientConnection connection;
+    private Instant sentAt;
+    private boolean abandoned;
+    private boolean ended;
+    private boolean prefilled;
+    private AttemptResult rejected;
+    private String rejection;
+
+    Attempt(ExchangeServices services, Dispatcher.Dispatch dispatch, Exchange exchange) {
+        this.services = services;
+        this.dispatch = dispatch;
+        this.exchange = exchange;
+    }
+
+    String targetId() {
+        return dispatch.target().id();
+    }
+
+    private TargetState state() {
+        return dispatch.state();
+    }
+
+    void start(HttpRequest head, ByteBuf body) {
+        state().load().begin(dispatch.prefillTokens());
+        services.targetConnections()
+                .acquire(
+                        dispatch.target().address(),
+                        (opened, failure) -> connected(opened, failure, head, body));
+    }
+
+    private void connected(
+            ClientConnection opened, Throwable failure, HttpRequest head, ByteBuf body) {
+        if (abandoned) {
+            body.release();
+            if (opened != null) {
+                opened.abort();
+            }
+            return;
+        }
+        if (opened == null) {
+            body.release();
+            state().health().onUnreachable(services.clock().instant());
+            fail(AttemptResult.NOT_SENT, "" + failure);
+            return;
+        }
+        connection = opened;
+        sentAt = services.clock().instant();
+        opened.send(head, body, this);
+    }
+
+    boolean wasSent() {
+        return sentAt != null;
+    }
+
+    void setReading(boolean reading) {
+        if (connection != null) {
+            connection.setReading(reading);
+        }
+    }
+
+    /** Ends the attempt without an outcome of its own; the target's work stops. */
+    void abandon() {
+        if (abandoned || ended) {
+            return;
+        }
+        abandoned = true;
+        endLoad();
+        if (connection != null) {
+            connection.abort();
+        }
+    }
+
+    private void endLoad() {
+        if (!ended) {
+            ended = true;
+            notePrefilled();
+            state().load().end();
+        }
+    }
+
+    private void notePrefilled() {
+        if (!prefilled) {
+            prefilled = true;
+            state().load().prefilled(dispatch.prefillTokens());
+        }
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+        AnswerHead answer = services.dialect().readAnswer(head);
+        String expected = exchange.request().head().requestId();
+        if (answer.requestId().isPresent() && !answer.requestId().get().equals(expected)) {
+            services.log()
+                    .write(
+                            DecisionKind.ATTEMPT_FAILED,
+                            expected,
+                            () -> "answer for " + answer.requestId().get(),
+                            "answer to another request ignored");
+            return false;
+        }
+        answer.weightVersion().ifPresent(state()::observeWeightVersion);
+        judge(answer);
+        if (rejected == null) {
+            begin(head);
+        }
+        return true;
+    }
+
+    /** Finds out whether the answer is passed on, and if not, why. */
+    private void judge(AnswerHead answer) {
+        int status = answer.status();
+        if (answer.notRun() || status == MISDIRECTED) {
+            reject(AttemptResult.REFUSED, answer);
+        } else if (answer.isSuccess() && (!answer.signed() || answer.encoded())) {
+            reject(AttemptResult.INVALID_ANSWER, answer);
+        } else if (status == UNAVAILABLE
+                || status == TOO_MANY_REQUESTS
+                || status == REQUEST_TIMEOUT) {
+            reject(AttemptResult.SERVER_ERROR, answer);
+        } else if (status >= FIRST_SERVER_ERROR && !answer.signed()) {
+            reject(AttemptResult.SERVER_ERROR, answer);
+        } else if (status >= FIRST_SERVER_ERROR && exchange.claimRetry()) {
+            reject(AttemptResult.SERVER_ERROR, answer);
+        } else if (exchange.relay().isStarted() && !answer.isSuccess()) {
+            reject(AttemptResult.SERVER_ERROR, answer);
+        }
+    }
+
+    private void reject(AttemptResult result, AnswerHead answer) {
+        rejected = result;
+        rejection =
+                "status="
+                        + answer.status()
+                        + " signed="
+                        + answer.signed()
+                        + answer.otherInstance().map(other -> " instance=" + other).orElse("");
+        if (answer.status() == MISDIRECTED) {
+            noteMisdirected(answer);
+        }
+    }
+
+    private void noteMisdirected(AnswerHead answer) {
+        boolean otherInstance =
+                answer.otherInstance().filter(id -> !id.equals(targetId())).isPresent();
+        if (otherInstance) {
+            state().health().onUnreachable(services.clock().instant());
+        } else {
+            state().doubtWeightVersion();
+        }
+    }
+
+    private void begin(HttpResponse head) {
+        boolean stream = exchange.request().route().kind().isStream();
+        boolean success = head.status().code() < 300;
+        if (!exchange.relay().isStarted()) {
+            boolean resumable =
+                    stream && success && exchange.request().route().kind().isRepeatable();
+            exchange.relay().start(head, resumable);
+        }
+        if (!stream) {
+            firstByte();
+            exchange.stopWatchingSilence();
+        }
+    }
+
+    private void firstByte() {
+        services.metrics()
+                .firstByteAfter(
+                        Duration.between(
+                                exchange.request().arrivedAt(), services.clock().instant()));
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+        if (rejected != null) {
+            return;
+        }
+        if (!prefilled) {
+            notePrefilled();
+            firstByte();
+        }
+        if (exchange.request().route().kind().isStream()) {
+            exchange.watchSilence();
+        }
+        exchange.relay().content(content);
+        if (!exchange.relay().isWritable()) {
+            connection.setReading(false);
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        if (rejected != null) {
+            fail(rejected, rejection);
+            return;
+        }
+        endLoad();
+        state().health().onSuccess();
+        exchange.relay().complete();
+        exchange.onComplete();
+    }
+
+    @Override
+    public void onFailure(Failure failure, String detail) {
+        if (rejected != null) {
+            fail(rejected, rejection);
+            return;
+        }
+        AttemptResult result =
+                failure == Failure.INVALID_ANSWER
+                        ? AttemptResult.INVALID_ANSWER
+                        : exchange.relay().isStarted()
+                                ? AttemptResult.BROKEN_STREAM
+                                : AttemptResult.NO_ANSWER;
+        fail(result, detail);
+    }
+
+    private void fail(AttemptResult result, String detail) {
+        endLoad();
+        noteFailure(result, detail);
+        exchange.onAttemptFailed(this, result, detail);
+    }
+
+    /** Lets the failure count for the target and writes it to the log. */
+    void noteFailure(AttemptResult result, String detail) {
+        Instant now = services.clock().instant();
+        if (result == AttemptResult.REFUSED) {
+            state().refused(now);
+        } else if (result != AttemptResult.NOT_SENT) {
+            state().health().onFailure(now);
+        }
+        services.log()
+                .write(
+                        DecisionKind.ATTEMPT_FAILED,
+                        exchange.request().head().requestId(),
+                        () ->
+                                detail
+                                        + " target="
+                                        + targetId()
+                                        + " failure-rate="
+                                        + state().health().failureRate(),
+                        result.toString());
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -0,0 +1,227 @@
+package org.bergamothoist.gateway.client;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A connection that carries one request at a time.
+ *
+ * <p>Bytes that come when no answer is expected belong to no request; the connection is closed.
+ */
+public final class ClientConnection extends ChannelInboundHandlerAdapter {
+
+    private static final Pattern TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
+
+    private enum State {
+        IDLE,
+        BUSY,
+        /** The answer is complete, but what was received with it is still being read. */
+        SETTLING,
+        CLOSED
+    }
+
+    private final String address;
+    private final InstantSource clock;
+    private final ConnectionPool pool;
+    private final AnswerDecoder decoder;
+    private Channel channel;
+    private State state = State.IDLE;
+    private AnswerListener listener;
+    private ChannelFuture requestWritten;
+    private boolean interim;
+    private boolean ignoring;
+    private boolean reusable = true;
+    private boolean broken;
+    private Instant usableUntil = Instant.MAX;
+
+    ClientConnection(
+            String address, ConnectionPool pool, AnswerDecoder decoder, InstantSource clock) {
+        this.address = address;
+        this.pool = pool;
+        this.decoder = decoder;
+        this.clock = clock;
+    }
+
+    String address() {
+        return address;
+    }
+
+    boolean isUsable() {
+        return state == State.IDLE && channel.isActive() && clock.instant().isBefore(usableUntil);
+    }
+
+    void attach(Channel connected) {
+        channel = connected;
+    }
+
+    /** Sends a request; the body is released. */
+    public void send(HttpRequest head, ByteBuf body, AnswerListener receiver) {
+        listener = receiver;
+        state = State.BUSY;
+        decoder.expect(head.method());
+        channel.write(head);
+        requestWritten = channel.writeAndFlush(new DefaultLastHttpContent(body));
+    }
+
+    /** Ends the request in progress without waiting for its answer. */
+    public void abort() {
+        listener = null;
+        close();
+    }
+
+    /** Stops or resumes reading the answer. */
+    public void setReading(boolean reading) {
+        if (state != State.CLOSED) {
+            channel.config().setAutoRead(reading);
+        }
+    }
+
+    void close() {
+        if (state != State.CLOSED) {
+            state = State.CLOSED;
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (state != State.BUSY) {
+                reusable = false;
+                close();
+                return;
+            }
+            if (message instanceof HttpResponse head) {
+                onHead(head);
+            }
+            if (state == State.BUSY && message instanceof HttpContent content) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onHead(HttpResponse head) {
+        if (head.decoderResult().isFailure()) {
+            fail(AnswerListener.Failure.INVALID_ANSWER, "" + head.decoderResult().cause());
+            return;
+        }
+        interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (interim) {
+            return;
+        }
+        if (!HttpUtil.isKeepAlive(head) || !hasLength(head)) {
+            reusable = false;
+        }
+        noteIdleTimeout(head);
+        ignoring = !listener.onHead(head);
+        if (ignoring) {
+            reusable = false;
+        }
+    }
+
+    private static boolean hasLength(HttpResponse head) {
+        int code = head.status().code();
+        return HttpUtil.isContentLengthSet(head)
+                || HttpUtil.isTransferEncodingChunked(head)
+                || code == 204
+                || code == 304;
+    }
+
+    private void noteIdleTimeout(HttpResponse head) {
+        String value = head.headers().get("Keep-Alive", "");
+        Matcher matcher = TIMEOUT.matcher(value);
+        Duration idle = pool.defaultIdleTime();
+        if (matcher.find()) {
+            Duration stated = Duration.ofSeconds(Long.parseLong(matcher.group(1)));
+            idle = stated.minus(pool.idleMargin());
+        }
+        usableUntil = clock.instant().plus(idle);
+    }
+
+    private void onContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            fail(AnswerListener.Failure.INVALID_ANSWER, "" + content.decoderResult().cause());
+            return;
+        }
+        boolean relayed = !interim && !ignoring;
+        if (relayed && content.content().isReadable()) {
+            listener.onContent(content.content());
+        }
+        if (!(content instanceof LastHttpContent) || state != State.BUSY) {
+            return;
+        }
+        if (broken) {
+            fail(AnswerListener.Failure.CONNECTION_LOST, "connection reset");
+            return;
+        }
+        if (!relayed) {
+            interim = false;
+            ignoring = false;
+            return;
+        }
+        state = State.SETTLING;
+        AnswerListener completed = listener;
+        listener = null;
+        completed.onComplete();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (state == State.SETTLING) {
+            settle();
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void settle() {
+        if (!reusable || !requestWritten.isSuccess()) {
+            close();
+            return;
+        }
+        state = State.IDLE;
+        channel.config().setAutoRead(true);
+        pool.release(this);
+    }
+
+    private void fail(AnswerListener.Failure failure, String detail) {
+        AnswerListener failed = listener;
+        listener = null;
+        close();
+        if (failed != null) {
+            failed.onFailure(failure, detail);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        broken = true;
+        fail(AnswerListener.Failure.CONNECTION_LOST, "" + cause);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (state == State.BUSY) {
+            fail(AnswerListener.Failure.CONNECTION_LOST, "connection closed");
+        }
+        state = State.CLOSED;
+        pool.forget(this);
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -0,0 +1,138 @@
+package org.bergamothoist.gateway.client;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Opens connections and keeps idle ones by address. Confined to the event loop. */
+public final class ConnectionPool {
+
+    private final EventLoop eventLoop;
+    private final InstantSource clock;
+    private final Settings settings;
+    private final Counter opened;
+    private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+
+    /**
+     * How connections are opened and kept.
+     *
+     * @param connectTimeout time for a connection to be established
+     * @param idleTime time for which an idle connection is kept if its peer states none
+     * @param idleMargin time by which a connection is given up before its peer closes it
+     */
+    public record Settings(Duration connectTimeout, Duration idleTime, Duration idleMargin) {}
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param name names the pool in metrics
+     */
+    public ConnectionPool(
+            String name,
+            EventLoop eventLoop,
+            InstantSource clock,
+            Settings settings,
+            MetricRegistry metrics) {
+        this.eventLoop = eventLoop;
+        this.clock = clock;
+        this.settings = settings;
+        this.opened = metrics.counter("connections-opened." + name);
+    }
+
+    Duration defaultIdleTime() {
+        return settings.idleTime();
+    }
+
+    Duration idleMargin() {
+        return settings.idleMargin();
+    }
+
+    /**
+     * Passes a connection on, or a failure to open one.
+     *
+     * @param address IP address and port
+     */
+    public void acquire(String address, BiConsumer<ClientConnection, Throwable> receiver) {
+        Deque<ClientConnection> kept = idle.get(address);
+        while (kept != null && !kept.isEmpty()) {
+            ClientConnection connection = kept.pollFirst();
+            if (connection.isUsable()) {
+                receiver.accept(connection, null);
+                return;
+            }
+            connection.close();
+        }
+        open(address, receiver);
+    }
+
+    private void open(String address, BiConsumer<ClientConnection, Throwable> receiver) {
+        opened.inc();
+        AnswerDecoder decoder = new AnswerDecoder();
+        ClientConnection connection = new ClientConnection(address, this, decoder, clock);
+        new Bootstrap()
+                .group(eventLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) settings.connectTimeout().toMillis())
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                connection.attach(channel);
+                                channel.pipeline()
+                                        .addLast(decoder, new HttpRequestEncoder(), connection);
+                            }
+                        })
+                .connect(socketAddress(address))
+                .addListener(
+                        future ->
+                                receiver.accept(
+                                        future.isSuccess() ? connection : null, future.cause()));
+    }
+
+    /** Returns the socket address of an IP address and port. */
+    public static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    void release(ClientConnection connection) {
+        idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
+                .addFirst(connection);
+    }
+
+    void forget(ClientConnection connection) {
+        Deque<ClientConnection> kept = idle.get(connection.address());
+        if (kept != null) {
+            kept.remove(connection);
+            if (kept.isEmpty()) {
+                idle.remove(connection.address());
+            }
+        }
+    }
+
+    /** Closes the idle connections to an address whose owner is gone. */
+    public void closeIdle(String address) {
+        Deque<ClientConnection> kept = idle.remove(address);
+        if (kept != null) {
+            kept.forEach(ClientConnection::close);
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -0,0 +1,161 @@
+package org.bergamothoist.gateway.client;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.bergamothoist.core.error.ErrorCode;
+import org.bergamothoist.gateway.GatewayException;
+
+/** Makes calls with small bodies. Stages complete on the event loop. */
+public final class HttpCaller {
+
+    /** Size of an answer's body, in bytes: above the largest page that the store sends. */
+    private static final int MOST_BODY_BYTES = 4 << 20;
+
+    private final ConnectionPool pool;
+    private final EventLoop eventLoop;
+
+    /** Creates a caller. */
+    public HttpCaller(ConnectionPool pool, EventLoop eventLoop) {
+        this.pool = pool;
+        this.eventLoop = eventLoop;
+    }
+
+    /**
+     * A call.
+     *
+     * @param body empty for none
+     * @param timeout time for the whole call
+     */
+    public record Call(
+            HttpMethod method,
+            String address,
+            String target,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout) {
+
+        /** Creates a call without headers and body. */
+        public static Call get(String address, String target, Duration timeout) {
+            return new Call(HttpMethod.GET, address, target, Map.of(), new byte[0], timeout);
+        }
+    }
+
+    /**
+     * Makes a call; fails with {@link CallException} if no complete answer comes in time. A failed
+     * call may have taken effect.
+     */
+    public CompletionStage<HttpAnswer> call(Call call) {
+        Pending pending = new Pending(call);
+        pool.acquire(call.address(), pending::connected);
+        return pending.answer;
+    }
+
+    /** A call that was not answered. */
+    public static final class CallException extends GatewayException {
+
+        public CallException(String message) {
+            super(ErrorCode.PLATFORM_UNAVAILABLE, message);
+        }
+    }
+
+    private final class Pending implements AnswerListener {
+
+        private final Call call;
+        private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final io.netty.util.concurrent.Future<?> timer;
+        private ClientConnection connection;
+        private int status;
+        private HttpHeaders headers;
+
+        private Pending(Call call) {
+            this.call = call;
+            this.timer =
+                    eventLoop.schedule(
+                            this::timeOut, call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        private void timeOut() {
+            if (connection != null) {
+                connection.abort();
+            }
+            fail("no answer within " + call.timeout().toMillis() + " ms");
+        }
+
+        private void connected(ClientConnection opened, Throwable failure) {
+            if (opened == null) {
+                fail("not connected: " + failure);
+                return;
+            }
+            connection = opened;
+            if (answer.isDone()) {
+                opened.abort();
+                return;
+            }
+            HttpRequest head =
+                    new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target());
+            head.headers().set(HttpHeaderNames.HOST, call.address());
+            call.headers().forEach(head.headers()::set);
+            boolean bodyless = call.body().length == 0 && HttpMethod.GET.equals(call.method());
+            if (!bodyless) {
+                head.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            }
+            opened.send(head, Unpooled.wrappedBuffer(call.body()), this);
+        }
+
+        @Override
+        public boolean onHead(HttpResponse head) {
+            status = head.status().code();
+            headers = head.headers();
+            return true;
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            if (body.size() + content.readableBytes() > MOST_BODY_BYTES) {
+                connection.abort();
+                fail("answer larger than " + MOST_BODY_BYTES + " bytes");
+                return;
+            }
+            try {
+                content.readBytes(body, content.readableBytes());
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
+        }
+
+        @Override
+        public void onComplete() {
+            timer.cancel(false);
+            answer.complete(new HttpAnswer(status, headers, body.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(Failure failure, String detail) {
+            fail(failure + ": " + detail);
+        }
+
+        private void fail(String detail) {
+            timer.cancel(false);
+            answer.completeExceptionally(
+                    new CallException(
+                            call.method() + " " + call.address() + call.target() + ": " + detail));
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/package-info.java
@@ -0,0 +1,2 @@
+/** Outgoing HTTP/1.1 connections: one request at a time, kept for the next one. */
+package org.bergamothoist.gateway.client;
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
@@ -0,0 +1,217 @@
+package org.bergamothoist.gateway.control;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.SocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.fleet.RegisteredTarget;
+import org.bergamothoist.core.fleet.TargetState;
+import org.bergamothoist.core.gossip.DaemonReport;
+import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.GatewayException;
+import org.bergamothoist.gateway.client.ConnectionPool;
+import org.bergamothoist.gateway.state.Beliefs;
+
+/**
+ * Exchanges reports with other daemons, one datagram each. Confined to the event loop.
+ *
+ * <p>A daemon sends to a bounded number of others in each round, so that its cost does not grow
+ * with the fleet.
+ */
+public final class ReportLink {
+
+    /** Interval between rounds: loads change within the time of a few requests. */
+    private static final Duration INTERVAL = Duration.ofMillis(400);
+
+    /** Least pause between reports that changes cause. */
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(60);
+
+    /** Most receivers of a round, so that cost does not grow with the fleet. */
+    private static final int MOST_RECEIVERS = 8;
+
+    private final Beliefs beliefs;
+    private final Supplier<DaemonReport> ownReport;
+    private final EventLoop eventLoop;
+    private final Scheduler scheduler;
+    private final InstantSource clock;
+    private final DecisionLog log;
+    private Channel channel;
+    private Instant sentAt = Instant.EPOCH;
+    private int position;
+    private Set<String> aliveBefore = Set.of();
+
+    /**
+     * Creates a link that is not open yet.
+     *
+     * @param ownReport makes this daemon's report
+     */
+    public ReportLink(
+            Beliefs beliefs,
+            Supplier<DaemonReport> ownReport,
+            EventLoop eventLoop,
+            Scheduler scheduler,
+            InstantSource clock,
+            DecisionLog log) {
+        this.beliefs = beliefs;
+        this.ownReport = ownReport;
+        this.eventLoop = eventLoop;
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Opens the link and starts the rounds. */
+    public ChannelFuture open(SocketAddress address) {
+        ChannelFuture bound =
+                new Bootstrap()
+                        .group(eventLoop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver())
+                        .bind(address);
+        channel = bound.channel();
+        bound.addListener(future -> round());
+        return bound;
+    }
+
+    private void round() {
+        sendToNext();
+        noteChanges();
+        scheduler.schedule(INTERVAL, this::round);
+    }
+
+    /** Reports soon because something changed that others should know. */
+    public void reportSoon() {
+        if (channel != null && !clock.instant().isBefore(sentAt.plus(LEAST_PAUSE))) {
+            sendToNext();
+        }
+    }
+
+    private void sendToNext() {
+        sentAt = clock.instant();
+        List<String> receivers = beliefs.daemons().receivers();
+        if (receivers.isEmpty() || !channel.isActive()) {
+            return;
+        }
+        byte[] report = ReportMapper.encode(ownReport.get());
+        int count = Math.min(MOST_RECEIVERS, receivers.size());
+        for (int index = 0; index < count; index++) {
+            String receiver = receivers.get((position + index) % receivers.size());
+            channel.write(
+                    new DatagramPacket(
+                            Unpooled.wrappedBuffer(report),
+                            ConnectionPool.socketAddress(receiver)));
+        }
+        position = (position + count) % receivers.size();
+        channel.flush();
+    }
+
+    private void noteChanges() {
+        Set<String> alive = new HashSet<>();
+        beliefs.daemons().alive().forEach(report -> alive.add(report.daemon().name()));
+        for (String name : alive) {
+            if (!aliveBefore.contains(name)) {
+                log.write(DecisionKind.DAEMON_CHANGED, name, () -> "report received", "alive");
+            }
+        }
+        for (String name : aliveBefore) {
+            if (!alive.contains(name)) {
+                log.write(DecisionKind.DAEMON_CHANGED, name, () -> "no report lately", "silent");
+            }
+        }
+        aliveBefore = alive;
+    }
+
+    /** Makes the part of a report that concerns targets. */
+    public static List<DaemonReport.TargetReport> targetReports(Beliefs beliefs, Instant now) {
+        List<DaemonReport.TargetReport> reports = new ArrayList<>();
+        for (RegisteredTarget target : beliefs.targets().all()) {
+            TargetState state = beliefs.targetStates().of(target.incarnation());
+            boolean silent = state.load().ownRequests() == 0 && state.weightVersion().isEmpty();
+            if (!silent) {
+                reports.add(
+                        new DaemonReport.TargetReport(
+                                target.id(),
+                                target.incarnation().startedAt().toEpochMilli(),
+                                state.load().ownRequests(),
+                                state.load().ownPrefillTokens(),
+                                state.weightVersion().orElse(0),
+                                state.isChangingWeights(now)));
+            }
+        }
+        return reports;
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(bytes);
+            try {
+                accept(ReportMapper.decodeReport(bytes));
+            } catch (GatewayException exception) {
+                log.write(
+                        DecisionKind.RECORD_IGNORED,
+                        String.valueOf(packet.sender()),
+                        exception::getMessage,
+                        "report ignored");
+            }
+        }
+
+        private void accept(DaemonReport report) {
+            if (!beliefs.daemons().accept(report)) {
+                return;
+            }
+            report.targets().forEach(target -> accept(report, target));
+        }
+
+        private void accept(DaemonReport report, DaemonReport.TargetReport target) {
+            Instant now = clock.instant();
+            beliefs.targetStates()
+                    .find(target.target())
+                    .filter(state -> isSameIncarnation(state, target))
+                    .ifPresent(
+                            state -> {
+                                state.load()
+                                        .report(
+                                                report.daemon().name(),
+                                                target.requests(),
+                                                target.prefillTokens(),
+                                                now);
+                                if (target.weightVersion() > 0) {
+                                    state.hearWeightVersion(target.weightVersion());
+                                }
+                                if (target.changingWeights() && report.orderHolder()) {
+                                    state.changingWeightsUntil(now.plus(INTERVAL.multipliedBy(2)));
+                                }
+                            });
+        }
+
+        private static boolean isSameIncarnation(
+                TargetState state, DaemonReport.TargetReport target) {
+            return state.incarnation().startedAt().toEpochMilli() == target.startedAtMilliseconds();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            log.write(
+                    DecisionKind.RECORD_IGNORED, "report-link", () -> "" + cause, "datagram lost");
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/StructuredDecisionLog.java
@@ -0,0 +1,91 @@
+package org.bergamothoist.gateway.control;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+
+/**
+ * Writes decisions as JSON lines through a logger that drops lines instead of blocking. Confined to
+ * the event loop.
+ */
+public final class StructuredDecisionLog implements DecisionLog {
+
+    /** Lines of one kind in a second: about five times what a daemon writes at full load. */
+    private static final int MOST_LINES = 200;
+
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+    private static final Logger LOGGER = LogManager.getLogger("decisions");
+    private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+
+    private final String daemon;
+    private final InstantSource wallClock;
+    private final Counter suppressedLines;
+    private final Map<DecisionKind, Integer> written = new EnumMap<>(DecisionKind.class);
+    private Instant windowStart;
+    private long suppressed;
+
+    /**
+     * Creates a log.
+     *
+     * @param daemon name that each line has
+     */
+    public StructuredDecisionLog(String daemon, InstantSource wallClock, MetricRegistry metrics) {
+        this.daemon = daemon;
+        this.wallClock = wallClock;
+        this.windowStart = wallClock.instant();
+        this.suppressedLines = metrics.counter("log-lines-suppressed");
+    }
+
+    @Override
+    public void write(DecisionKind kind, String subject, Supplier<String> inputs, String outcome) {
+        Instant now = wallClock.instant();
+        if (now.isAfter(windowStart.plus(WINDOW)) || now.isBefore(windowStart)) {
+            startWindow(now);
+        }
+        if (written.merge(kind, 1, Integer::sum) > MOST_LINES) {
+            suppressed++;
+            suppressedLines.inc();
+            return;
+        }
+        LOGGER.info(line(now, kind, subject, inputs.get(), outcome));
+    }
+
+    private void startWindow(Instant now) {
+        windowStart = now;
+        written.clear();
+        if (suppressed > 0) {
+            long count = suppressed;
+            suppressed = 0;
+            LOGGER.info(
+                    line(now, DecisionKind.LINES_SUPPRESSED, "log", "lines=" + count, "dropped"));
+        }
+    }
+
+    private String line(
+            Instant now, DecisionKind kind, String subject, String inputs, String outcome) {
+        StringBuilder line = new StringBuilder(200);
+        line.append("{\"time\":\"").append(now).append("\",\"daemon\":\"").append(daemon);
+        line.append("\",\"event\":\"").append(name(kind)).append("\",\"subject\":\"");
+        ENCODER.quoteAsString(subject, line);
+        line.append("\",\"inputs\":\"");
+        ENCODER.quoteAsString(inputs, line);
+        line.append("\",\"outcome\":\"");
+        ENCODER.quoteAsString(outcome, line);
+        return line.append("\"}").toString();
+    }
+
+    private static String name(DecisionKind kind) {
+        return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -0,0 +1,322 @@
+package org.bergamothoist.gateway.control;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.fleet.RegisteredTarget;
+import org.bergamothoist.core.fleet.TargetIncarnation;
+import org.bergamothoist.core.fleet.TargetState;
+import org.bergamothoist.core.gossip.DaemonReport;
+import org.bergamothoist.core.lease.OrderLease;
+import org.bergamothoist.core.rollout.RolloutPlanner;
+import org.bergamothoist.core.rollout.WeightOrder;
+import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.state.Beliefs;
+
+/**
+ * Brings the newest named weights to every engine, if this daemon is the one to order. Confined to
+ * the event loop.
+ *
+ * <p>An engine's report decides whether an order took effect. An order without an answer may still
+ * be carried out; the expected number of orders keeps it from undoing a later one.
+ */
+public final class WeightRollout {
+
+    /** Interval between looks at what there is to order: a small part of a load's time. */
+    private static final Duration INTERVAL = Duration.ofMillis(150);
+
+    /** Time after an order before the engine is asked for its state: most of a load. */
+    private static final Duration FIRST_QUESTION = Duration.ofMillis(1_700);
+
+    /** Interval between questions to an engine that loads. */
+    private static final Duration NEXT_QUESTION = Duration.ofMillis(350);
+
+    /** Pause before an engine that answered with a failure is ordered again. */
+    private static final Duration FAILURE_PAUSE = Duration.ofMillis(700);
+
+    /** Time after which a load whose engine does not report no longer counts as in progress. */
+    private static final Duration LONGEST_LOAD = Duration.ofSeconds(8);
+
+    /** Time for which other requests are kept from an engine that loads, unless it is renewed. */
+    private static final Duration CHANGE_TIME = Duration.ofMillis(700);
+
+    private final String self;
+    private final Beliefs beliefs;
+    private final EngineOrders orders;
+    private final OrderLease lease;
+    private final Runnable reportSoon;
+    private final Scheduler scheduler;
+    private final InstantSource clock;
+    private final DecisionLog log;
+    private final Map<TargetIncarnation, Progress> progress = new HashMap<>();
+
+    /**
+     * Creates a rollout that does nothing yet.
+     *
+     * @param self name of this daemon
+     * @param reportSoon tells other daemons which engines load
+     */
+    public WeightRollout(
+            String self,
+            Beliefs beliefs,
+            EngineOrders orders,
+            OrderLease lease,
+            Runnable reportSoon,
+            Scheduler scheduler,
+            InstantSource clock,
+            DecisionLog log) {
+        this.self = self;
+        this.beliefs = beliefs;
+        this.orders = orders;
+        this.lease = lease;
+        this.reportSoon = reportSoon;
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Starts to look for work. */
+    public void start() {
+        scheduler.schedule(INTERVAL, this::look);
+    }
+
+    private void look() {
+        scheduler.schedule(INTERVAL, this::look);
+        Map<String, Integer> newest = beliefs.namedWeights().versions();
+        Instant now = clock.instant();
+        List<RolloutPlanner.EngineWeights> engines = engines(newest, now);
+        progress.keySet().removeIf(known -> !isPresent(known));
+        boolean outdated =
+                engines.stream().anyMatch(engine -> RolloutPlanner.isOutdated(engine, newest));
+        if (!outdated || !isCandidate()) {
+            return;
+        }
+        lease.pursue();
+        if (lease.usableFencingNumber().isEmpty()) {
+            return;
+        }
+        for (WeightOrder order : RolloutPlanner.plan(engines, newest)) {
+            begin(order, now);
+        }
+    }
+
+    private boolean isPresent(TargetIncarnation incarnation) {
+        return beliefs.targets()
+                .find(incarnation.id())
+                .filter(target -> target.incarnation().equals(incarnation))
+                .isPresent();
+    }
+
+    /**
+     * The last holder goes on while it is alive and reaches the store; otherwise the first ready
+     * daemon by name takes over.
+     */
+    private boolean isCandidate() {
+        List<DaemonReport> able =
+                beliefs.daemons().alive().stream()
+                        .filter(report -> report.ready() && report.storeReachable())
+                        .toList();
+        boolean otherHolds = able.stream().anyMatch(DaemonReport::orderHolder);
+        if (lease.isHolder()) {
+            return true;
+        }
+        return !otherHolds
+                && able.stream().allMatch(report -> self.compareTo(report.daemon().name()) < 0);
+    }
+
+    private List<RolloutPlanner.EngineWeights> engines(Map<String, Integer> newest, Instant now) {
+        List<RolloutPlanner.EngineWeights> engines = new ArrayList<>();
+        for (RegisteredTarget target : beliefs.targets().all()) {
+            if (target.leaving()) {
+                continue;
+            }
+            for (String model : target.weightVersions().keySet()) {
+                if (newest.containsKey(model)) {
+                    engines.add(view(target, model, now));
+                }
+            }
+        }
+        return engines;
+    }
+
+    private RolloutPlanner.EngineWeights view(RegisteredTarget target, String model, Instant now) {
+        TargetState state = beliefs.targetStates().of(target.incarnation());
+        Progress known = progress.get(target.incarnation());
+        boolean loading = known != null && known.isLoading(now);
+        boolean paused = known != null && now.isBefore(known.pausedUntil);
+        int version = state.weightVersion().orElse(target.weightVersions().get(model));
+        return new RolloutPlanner.EngineWeights(
+                target,
+                model,
+                version,
+                loading,
+                !paused && state.health().isUsable(now),
+                state.load().totalRequests(now));
+    }
+
+    private void begin(WeightOrder order, Instant now) {
+        Progress current =
+                progress.computeIfAbsent(order.engine().incarnation(), engine -> new Progress());
+        current.startedAt = now;
+        current.loading = true;
+        keepRequestsAway(order, now);
+        reportSoon.run();
+        if (current.ordersKnown) {
+            send(order, current);
+        } else {
+            ask(order, current, true);
+        }
+    }
+
+    private void keepRequestsAway(WeightOrder order, Instant now) {
+        beliefs.targetStates()
+                .of(order.engine().incarnation())
+                .changingWeightsUntil(now.plus(CHANGE_TIME));
+    }
+
+    private void send(WeightOrder order, Progress current) {
+        OptionalLong fencingNumber = lease.usableFencingNumber();
+        if (fencingNumber.isEmpty()) {
+            current.loading = false;
+            return;
+        }
+        long number = fencingNumber.getAsLong();
+        orders.order(order, self, number, current.orders)
+                .whenComplete(
+                        (answer, failure) -> {
+                            log.write(
+                                    DecisionKind.ORDER,
+                                    order.engine().id(),
+                                    () ->
+                                            "model="
+                                                    + order.model()
+                                                    + " version="
+                                                    + order.version()
+                                                    + " fencing="
+                                                    + number
+                                                    + " expected-orders="
+                                                    + current.orders,
+                                    failure == null ? answer.toString() : "" + failure);
+                            onAnswer(order, current, failure == null ? answer : null);
+                        });
+    }
+
+    /** An order without an answer is treated as one that may be carried out. */
+    private void onAnswer(WeightOrder order, Progress current, EngineOrders.Answer answer) {
+        if (answer == null) {
+            askLater(order, current, NEXT_QUESTION);
+            return;
+        }
+        switch (answer) {
+            case ACCEPTED -> {
+                current.orders++;
+                askLater(order, current, FIRST_QUESTION);
+            }
+            case ALREADY_HOLDS, CONFLICT -> ask(order, current, false);
+            case FENCED -> {
+                lease.onFenced();
+                pause(current);
+            }
+            case OTHER_INSTANCE, INVALID -> pause(current);
+            default -> throw new IllegalArgumentException("unknown answer " + answer);
+        }
+    }
+
+    private void pause(Progress current) {
+        current.loading = false;
+        current.pausedUntil = clock.instant().plus(FAILURE_PAUSE);
+    }
+
+    private void askLater(WeightOrder order, Progress current, Duration delay) {
+        renewWhileLoading(order, current);
+        scheduler.schedule(delay, () -> ask(order, current, false));
+    }
+
+    /** Keeps requests away for as long as the load takes. */
+    private void renewWhileLoading(WeightOrder order, Progress current) {
+        Instant now = clock.instant();
+        if (!current.isLoading(now) || current.renewing) {
+            return;
+        }
+        keepRequestsAway(order, now);
+        current.renewing = true;
+        scheduler.schedule(
+                CHANGE_TIME.dividedBy(2),
+                () -> {
+                    current.renewing = false;
+                    renewWhileLoading(order, current);
+                });
+    }
+
+    private void ask(WeightOrder order, Progress current, boolean thenSend) {
+        orders.report(order.engine(), order.model())
+                .whenComplete(
+                        (report, failure) -> {
+                            if (failure != null) {
+                                log.write(
+                                        DecisionKind.ORDER,
+                                        order.engine().id(),
+                                        () -> "" + failure,
+                                        "no report");
+                                pause(current);
+                                return;
+                            }
+                            onReport(order, current, report, thenSend);
+                        });
+    }
+
+    private void onReport(
+            WeightOrder order,
+            Progress current,
+            EngineOrders.EngineReport report,
+            boolean thenSend) {
+        current.orders = report.orders();
+        current.ordersKnown = true;
+        TargetState state = beliefs.targetStates().of(order.engine().incarnation());
+        if (report.busy()) {
+            askLater(order, current, NEXT_QUESTION);
+            return;
+        }
+        if (report.version() > 0 && state.weightVersion().orElse(0) != report.version()) {
+            state.observeWeightVersion(report.version());
+            beliefs.heldParts().forget(order.engine().incarnation().toString());
+        }
+        if (report.version() >= order.version()) {
+            current.loading = false;
+            state.changingWeightsUntil(clock.instant());
+            log.write(
+                    DecisionKind.ORDER,
+                    order.engine().id(),
+                    () -> "orders=" + report.orders(),
+                    "has version " + report.version());
+            reportSoon.run();
+            return;
+        }
+        if (thenSend) {
+            send(order, current);
+        } else {
+            pause(current);
+        }
+    }
+
+    private static final class Progress {
+
+        private boolean loading;
+        private boolean renewing;
+        private boolean ordersKnown;
+        private long orders;
+        private Instant startedAt = Instant.EPOCH;
+        private Instant pausedUntil = Instant.EPOCH;
+
+        private boolean isLoading(Instant now) {
+            return loading && now.isBefore(startedAt.plus(LONGEST_LOAD));
+        }
+    }
+}
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Relays callers' requests by host and path to registered targets. */
+package org.bergamothoist.gateway;
