Fetch shared prompt parts from the store of KV cache

Change: each daemon follows the store's events; requests fetch from it while it answers and save what it lacks. Retry budgets are kept for each service; error answers no longer leave a target out.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetHealth.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetHealth.java
@@ -27,9 +27,11 @@
     private Duration ejection = FIRST_EJECTION;
     private Instant ejectedUntil = Instant.EPOCH;
     private double failureRate;
+    private Instant succeededAt = Instant.EPOCH;
 
     /** Notes a complete answer. */
-    public void onSuccess() {
+    public void onSuccess(Instant now) {
+        succeededAt = now;
         failuresInRow = 0;
         ejection = FIRST_EJECTION;
         ejectedUntil = Instant.EPOCH;
@@ -45,6 +47,18 @@
         }
     }
 
+    /** Notes a failure that the target itself answered; such a target is not down. */
+    public void onErrorAnswer() {
+        failureRate += NEWEST_WEIGHT * (1 - failureRate);
+    }
+
+    /** Notes that a request sent at an instant had no answer; others may have had one since. */
+    public void onSilence(Instant sentAt, Instant now) {
+        if (succeededAt.isBefore(sentAt)) {
+            onFailure(now);
+        }
+    }
+
     /** Notes that the target could not be reached. */
     public void onUnreachable(Instant now) {
         failuresInRow++;
--- /dev/null
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheEvent.java
@@ -0,0 +1,9 @@
+package org.bergamothoist.core.prefix;
+
+/**
+ * A change of what a store of KV cache holds.
+ *
+ * @param held whether the part is held from now on, or no longer
+ * @param tokens tokens of the part that are held
+ */
+public record CacheEvent(boolean held, CacheScope scope, PromptPart part, int tokens) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
@@ -1,7 +1,7 @@
 package org.bergamothoist.core.relay;
 
 import java.time.Duration;
-import org.bergamothoist.core.limit.RetryBudget;
+import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.route.Route;
 
 /** Decides whether a request goes to another target after a failed attempt. */
@@ -13,15 +13,20 @@
     /** Most targets tried that could not be reached or refused, so that a request ends. */
     private static final int MOST_UNRUN_ATTEMPTS = 4;
 
-    private final RetryBudget budget;
+    private final RetryBudgets budgets;
 
     /**
      * Creates a policy.
      *
-     * @param budget shared by all requests of this daemon
+     * @param budgets shared by all requests of this daemon
      */
-    public AttemptPolicy(RetryBudget budget) {
-        this.budget = budget;
+    public AttemptPolicy(RetryBudgets budgets) {
+        this.budgets = budgets;
+    }
+
+    /** Notes the first attempt of a request. */
+    public void onRequest(String service) {
+        budgets.of(service).onRequest();
     }
 
     /**
@@ -53,7 +58,8 @@
      *
      * @param history includes the failed attempt
      */
-    public boolean isRetried(Route route, AttemptResult result, History history, Duration left) {
+    public boolean isRetried(
+            Route route, String service, AttemptResult result, History history, Duration left) {
         if (left.compareTo(LEAST_TIME_LEFT) < 0 || history.unrun() >= MOST_UNRUN_ATTEMPTS) {
             return false;
         }
@@ -64,6 +70,6 @@
         if (history.runs() >= route.attempts()) {
             return false;
         }
-        return result == AttemptResult.NOT_SENT || budget.tryTake();
+        return result == AttemptResult.NOT_SENT || budgets.of(service).tryTake();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -25,7 +25,7 @@
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.lease.OrderLease;
-import org.bergamothoist.core.limit.RetryBudget;
+import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.prefix.EngineCosts;
 import org.bergamothoist.core.prefix.EnginePlacement;
 import org.bergamothoist.core.relay.AttemptPolicy;
@@ -38,6 +38,7 @@
 import org.bergamothoist.gateway.caller.RequestFilters;
 import org.bergamothoist.gateway.client.ConnectionPool;
 import org.bergamothoist.gateway.client.HttpCaller;
+import org.bergamothoist.gateway.control.CacheStoreFollower;
 import org.bergamothoist.gateway.control.MetricsPage;
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.control.ReportLink;
@@ -118,6 +119,7 @@
     private final RecordRelay relay;
     private final OrderLease lease;
     private final WeightRollout rollout;
+    private final CacheStoreFollower cacheStore;
     private long reportSequence;
     private boolean stopping;
     private boolean refusing;
@@ -175,6 +177,9 @@
                         Duration.ofMillis(settings.orderLeaseMilliseconds()),
                         clock,
                         log);
+        this.cacheStore =
+                new CacheStoreFollower(
+                        beliefs, platform.cacheEvents(controlCaller), scheduler, log);
         this.rollout =
                 new WeightRollout(
                         self.name(),
@@ -214,7 +219,7 @@
         return new ExchangeServices(
                 filters.chain(),
                 dispatcher,
-                new AttemptPolicy(new RetryBudget(settings.retryShare(), RETRY_RESERVE)),
+                new AttemptPolicy(new RetryBudgets(settings.retryShare(), RETRY_RESERVE)),
                 targets,
                 platform.dialect(),
                 new RelayMetrics(metrics),
@@ -269,6 +274,7 @@
         publish();
         relay.start();
         rollout.start();
+        cacheStore.start();
         checkLapsed();
         log.write(
                 DecisionKind.DAEMON_STARTED,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlatformAdapter.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlatformAdapter.java
@@ -6,6 +6,7 @@
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.lease.LeaseTopic;
 import org.bergamothoist.gateway.client.HttpCaller;
+import org.bergamothoist.gateway.control.CacheEvents;
 import org.bergamothoist.gateway.control.EngineOrders;
 import org.bergamothoist.gateway.control.SideServer;
 import org.bergamothoist.gateway.state.RecordDecoder;
@@ -26,6 +27,9 @@
     /** Returns the way to order engines. */
     EngineOrders engineOrders(HttpCaller caller);
 
+    /** Returns the reader of events about KV cache. */
+    CacheEvents cacheEvents(HttpCaller caller);
+
     /** The platform's store. */
     interface Store extends FeedSource {
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -221,7 +221,7 @@
             return;
         }
         endLoad();
-        state().health().onSuccess();
+        state().health().onSuccess(services.clock().instant());
         exchange.relay().complete();
         exchange.onComplete();
     }
@@ -252,6 +252,10 @@
         Instant now = services.clock().instant();
         if (result == AttemptResult.REFUSED) {
             state().refused(now);
+        } else if (result == AttemptResult.SERVER_ERROR) {
+            state().health().onErrorAnswer();
+        } else if (result == AttemptResult.NO_ANSWER && sentAt != null) {
+            state().health().onSilence(sentAt, now);
         } else if (result != AttemptResult.NOT_SENT) {
             state().health().onFailure(now);
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
@@ -22,9 +22,9 @@
 public final class Dispatcher {
 
     /**
-     * Shared tokens from which fetching beats reading again: a transfer costs some ms to set up.
+     * Shared tokens from which fetching is asked for: two blocks of an engine's memory.
      */
-    private static final int LEAST_FETCHED_TOKENS = 1_000;
+    private static final int LEAST_FETCHED_TOKENS = 32;
 
     /** Least urgent priority that a target knows. */
     private static final int LEAST_URGENT = 9;
@@ -125,26 +125,15 @@
         CacheScope scope =
                 CacheScope.of(
                         request.organisation().orElse(null), prompt.model(), version.orElse(0));
-        Optional<CacheStoreTraits> store =
-                version.isPresent() && prompt.sharedTokens() >= LEAST_FETCHED_TOKENS
-                        ? request.configuration().cacheStore()
-                        : Optional.empty();
-        Optional<String> fetchFrom =
-                store.filter(known -> isStored(known, scope, prompt))
-                        .map(CacheStoreTraits::address);
+        Optional<String> store = cacheStore(request, prompt, version);
         Optional<String> saveTo =
-                store.filter(known -> !isStored(known, scope, prompt))
-                        .map(CacheStoreTraits::address);
+                store.filter(address -> !beliefs.cacheStore().holds(scope, prompt));
         beliefs.heldParts()
-                .add(target.incarnation().toString(), scope, prompt.parts(), traits.cacheTokens());
-        store.ifPresent(
-                known ->
-                        beliefs.heldParts()
-                                .add(
-                                        known.address(),
-                                        scope,
-                                        prompt.sharedParts(),
-                                        known.capacityTokens()));
+                .add(
+                        target.incarnation().toString(),
+                        scope,
+                        prompt.parts(),
+                        traits.cacheTokens());
         Forwarding forwarding =
                 new Forwarding(
                         target.id(),
@@ -153,15 +142,22 @@
                         priority(request),
                         version,
                         Optional.of(scope),
-                        fetchFrom,
+                        store,
                         saveTo,
                         lastEventId);
         return new Dispatch(target, state, forwarding, choice.prefillTokens());
     }
 
-    private boolean isStored(CacheStoreTraits store, CacheScope scope, NamedPrompt prompt) {
-        return beliefs.heldParts().leadingTokens(store.address(), scope, prompt.sharedParts())
-                == prompt.sharedTokens();
+    /** Parts made on unknown weights neither come from the store nor go there. */
+    private Optional<String> cacheStore(
+            RequestContext request, NamedPrompt prompt, OptionalInt version) {
+        if (version.isEmpty() || prompt.sharedTokens() < LEAST_FETCHED_TOKENS) {
+            return Optional.empty();
+        }
+        return request.configuration()
+                .cacheStore()
+                .map(CacheStoreTraits::address)
+                .filter(beliefs.cacheStore()::isReachable);
     }
 
     private static Optional<String> organisationName(RequestContext request) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -117,6 +117,7 @@
             return;
         }
         service = services.dispatcher().drawService(request);
+        services.attemptPolicy().onRequest(service);
         send();
     }
 
@@ -197,7 +198,12 @@
         boolean goesOn = !relay.isStarted() || request.route().kind().isStream();
         if (goesOn
                 && services.attemptPolicy()
-                        .isRetried(request.route(), AttemptResult.NO_ANSWER, after, left())) {
+                        .isRetried(
+                                request.route(),
+                                service,
+                                AttemptResult.NO_ANSWER,
+                                after,
+                                left())) {
             Attempt silent = attempt;
             silent.abandon();
             silent.noteFailure(AttemptResult.NO_ANSWER, "silent");
@@ -241,7 +247,7 @@
         boolean claimed = retryClaimed;
         retryClaimed = false;
         return claimed
-                || services.attemptPolicy().isRetried(request.route(), result, history, left());
+                || services.attemptPolicy().isRetried(request.route(), service, result, history, left());
     }
 
     /**
@@ -255,7 +261,7 @@
                         && request.route().kind().isRepeatable()
                         && services.attemptPolicy()
                                 .isRetried(
-                                        request.route(), AttemptResult.SERVER_ERROR, after, left());
+                                        request.route(), service, AttemptResult.SERVER_ERROR, after, left());
         return retryClaimed;
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/Beliefs.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/Beliefs.java
@@ -5,6 +5,7 @@
 import org.bergamothoist.core.fleet.TargetStates;
 import org.bergamothoist.core.gossip.DaemonDirectory;
 import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.prefix.CacheStoreView;
 import org.bergamothoist.core.prefix.HeldParts;
 import org.bergamothoist.core.rollout.NamedWeights;
 import org.bergamothoist.core.route.ConfigurationController;
@@ -16,16 +17,19 @@
         TargetStates targetStates,
         NamedWeights namedWeights,
         HeldParts heldParts,
+        CacheStoreView cacheStore,
         DaemonDirectory daemons) {
 
     /** Creates controllers that know nothing. */
     public static Beliefs empty(DaemonId self, InstantSource clock) {
+        HeldParts heldParts = new HeldParts();
         return new Beliefs(
                 new ConfigurationController(clock),
                 new TargetRegistry(clock),
                 new TargetStates(),
                 new NamedWeights(clock),
-                new HeldParts(),
+                heldParts,
+                new CacheStoreView(heldParts, clock),
                 new DaemonDirectory(self, clock));
     }
 
