Prepare engines before they load new weights

Change: an engine gets no new requests for 350 ms before its order and resumable streams move to other engines; the oldest weights are replaced first; placement avoids outdated engines.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -6,8 +6,9 @@
  * @param prefillTokensPerMillisecond prompt tokens that an engine reads in a millisecond; from the
  *     users' description of their engines
  * @param running added for each request that runs at the engine; from the same description
- * @param outdatedWeights penalty for an engine whose weights are not the newest: answers on old
- *     weights lose a fifth of their value
+ * @param outdatedWeights penalty for an engine whose weights have been outdated for longer than the
+ *     users accept: its answers lose a fifth of their value
+ * @param newlyOutdated penalty for an engine whose weights became outdated only just
  * @param failure penalty for an engine that fails all its requests
  * @param otherDataCentre penalty for bytes between data centres
  */
@@ -15,9 +16,10 @@
         double prefillTokensPerMillisecond,
         double running,
         double outdatedWeights,
+        double newlyOutdated,
         double failure,
         double otherDataCentre) {
 
     /** The figures of the first users' engines. */
-    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 150, 2_000, 3);
+    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 350, 60, 2_000, 3);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.core.prefix;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Comparator;
@@ -21,6 +22,9 @@
  */
 public final class EnginePlacement {
 
+    /** Time for which answers on the weights before keep their full value; stated by the users. */
+    private static final Duration ACCEPTED_DELAY = Duration.ofMillis(1_500);
+
     private final String dataCentre;
     private final TargetStates states;
     private final HeldParts heldParts;
@@ -55,7 +59,10 @@
 
     /** What a request brings to its placement. */
     public record Demand(
-            NamedPrompt prompt, Organisation organisation, OptionalInt newestVersion) {}
+            NamedPrompt prompt,
+            Organisation organisation,
+            OptionalInt newestVersion,
+            Optional<Instant> namedAt) {}
 
     /**
      * Returns the best engine, or empty if none takes requests.
@@ -112,7 +119,7 @@
         predicted += costs.running() * state.load().totalRequests(now);
         predicted += costs.failure() * state.health().failureRate();
         if (isOutdated(state, demand.newestVersion())) {
-            predicted += costs.outdatedWeights();
+            predicted += outdatedPenalty(demand, now);
         }
         if (!engine.dataCentre().equals(dataCentre)) {
             predicted += costs.otherDataCentre();
@@ -133,6 +140,14 @@
         return isHome ? Math.max(known, prompt.sharedTokens()) : known;
     }
 
+    private double outdatedPenalty(Demand demand, Instant now) {
+        boolean fresh =
+                demand.namedAt()
+                        .filter(at -> now.isBefore(at.plus(ACCEPTED_DELAY)))
+                        .isPresent();
+        return fresh ? costs.newlyOutdated() : costs.outdatedWeights();
+    }
+
     private static boolean isOutdated(TargetState state, OptionalInt newest) {
         return newest.isPresent()
                 && state.weightVersion().isPresent()
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
@@ -13,11 +13,22 @@
 
     private RolloutPlanner() {}
 
+    /** Where an engine is in the change of its weights. */
+    public enum Phase {
+        /** Nothing is under way. */
+        NONE,
+        /** No new requests are sent to it, so that the load starts at once. */
+        PREPARING,
+        /** It was ordered to load. */
+        LOADING,
+        /** It was ordered long enough ago for the next engine to be prepared. */
+        NEARLY_LOADED
+    }
+
     /**
      * What is known of an engine.
      *
      * @param version version of the model's weights
-     * @param loading whether an order is in progress, or may be
      * @param reachable whether orders reach it
      * @param requests requests outstanding at the engine
      */
@@ -25,25 +36,32 @@
             RegisteredTarget engine,
             String model,
             int version,
-            boolean loading,
+            Phase phase,
             boolean reachable,
             int requests) {}
 
     /**
-     * Returns the orders to give now: the least loaded outdated engines first.
+     * Returns the engines to prepare now: the oldest weights first, then the least loaded.
      *
      * @param newest newest named version by model; versions between are skipped
      */
-    public static List<WeightOrder> plan(List<EngineWeights> engines, Map<String, Integer> newest) {
-        long loading = engines.stream().filter(EngineWeights::loading).count();
-        long free = Math.max(0, MOST_LOADING - loading);
+    public static List<WeightOrder> plan(
+            List<EngineWeights> engines, Map<String, Integer> newest) {
+        long underWay =
+                engines.stream()
+                        .filter(
+                                engine ->
+                                        engine.phase() == Phase.PREPARING
+                                                || engine.phase() == Phase.LOADING)
+                        .count();
         return engines.stream()
-                .filter(engine -> !engine.loading() && engine.reachable())
+                .filter(engine -> engine.phase() == Phase.NONE && engine.reachable())
                 .filter(engine -> isOutdated(engine, newest))
                 .sorted(
-                        Comparator.comparingInt(EngineWeights::requests)
+                        Comparator.comparingInt(EngineWeights::version)
+                                .thenComparing(EngineWeights::requests)
                                 .thenComparing(engine -> engine.engine().id()))
-                .limit(free)
+                .limit(Math.max(0, MOST_LOADING - underWay))
                 .map(
                         engine ->
                                 new WeightOrder(
@@ -53,6 +71,17 @@
                 .toList();
     }
 
+    /** Returns whether another engine may be ordered to load now. */
+    public static boolean mayLoadAnother(List<EngineWeights> engines) {
+        return engines.stream()
+                        .filter(
+                                engine ->
+                                        engine.phase() == Phase.LOADING
+                                                || engine.phase() == Phase.NEARLY_LOADED)
+                        .count()
+                < MOST_LOADING;
+    }
+
     /** Returns whether an engine's weights are older than the newest named ones. */
     public static boolean isOutdated(EngineWeights engine, Map<String, Integer> newest) {
         return engine.version() < newest.getOrDefault(engine.model(), 0);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.bergamothoist.core.feed.FeedMirror;
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.fleet.ServicePlacement;
+import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.lease.OrderLease;
@@ -31,6 +32,7 @@
 import org.bergamothoist.core.relay.AttemptPolicy;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.core.time.SteadyClock;
+import org.bergamothoist.gateway.caller.ActiveAttempts;
 import org.bergamothoist.gateway.caller.CallerServer;
 import org.bergamothoist.gateway.caller.Dispatcher;
 import org.bergamothoist.gateway.caller.ExchangeServices;
@@ -110,6 +112,7 @@
     private final FeedFollower operatorFeed;
     private final FeedFollower targetsFeed;
     private final FeedFollower daemonsFeed;
+    private final ActiveAttempts activeAttempts = new ActiveAttempts();
     private final CallerServer callers;
     private final SideServer readiness;
     private final SideServer directory;
@@ -151,7 +154,14 @@
                         eventLoop, exchangeServices(platform, targets), beliefs.configuration());
         this.readiness = new SideServer(eventLoop, platform.readinessHandlers(this), log);
         this.directory = new SideServer(eventLoop, platform.directoryHandlers(this), log);
-        this.reports = new ReportLink(beliefs, this::report, eventLoop, scheduler, clock, log);
+        this.reports = new ReportLink(
+                        beliefs,
+                        this::report,
+                        activeAttempts::moveStreams,
+                        eventLoop,
+                        scheduler,
+                        clock,
+                        log);
         this.relay =
                 new RecordRelay(
                         mirror,
@@ -186,7 +196,7 @@
                         beliefs,
                         platform.engineOrders(controlCaller),
                         lease,
-                        reports::reportSoon,
+                        this::onChanging,
                         scheduler,
                         clock,
                         log);
@@ -222,6 +232,7 @@
                 new AttemptPolicy(new RetryBudgets(settings.retryShare(), RETRY_RESERVE)),
                 targets,
                 platform.dialect(),
+                activeAttempts,
                 new RelayMetrics(metrics),
                 scheduler,
                 clock,
@@ -301,6 +312,18 @@
         scheduler.schedule(LAPSE_CHECK, this::checkLapsed);
     }
 
+    private void onChanging(TargetIncarnation engine) {
+        reports.reportSoon();
+        boolean changing =
+                beliefs.targetStates()
+                        .find(engine.id())
+                        .filter(state -> state.isChangingWeights(clock.instant()))
+                        .isPresent();
+        if (changing) {
+            activeAttempts.moveStreams(engine.id());
+        }
+    }
+
     private boolean isStoreReachable() {
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -48,6 +48,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         state().load().begin(dispatch.prefillTokens());
+        services.activeAttempts().add(this);
         services.targetConnections()
                 .acquire(
                         dispatch.target().address(),
@@ -96,11 +97,17 @@
         }
     }
 
+    /** Lets the request go on at another target, if it can. */
+    void moveAway() {
+        exchange.moveAway(this);
+    }
+
     private void endLoad() {
         if (!ended) {
             ended = true;
             notePrefilled();
             state().load().end();
+            services.activeAttempts().remove(this);
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
@@ -87,7 +87,8 @@
                 new EnginePlacement.Demand(
                         prompt.get(),
                         request.organisation().orElse(null),
-                        beliefs.namedWeights().newest(prompt.get().model()));
+                        beliefs.namedWeights().newest(prompt.get().model()),
+                        beliefs.namedWeights().namedAt(prompt.get().model()));
         return engines.choose(targets, demand, tried)
                 .map(choice -> toEngine(request, choice, traits.get(), left, lastEventId));
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.relay.AttemptPolicy;
 import org.bergamothoist.core.relay.AttemptResult;
+import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.wire.EndToEnd;
 import org.bergamothoist.gateway.wire.Forwarding;
@@ -212,6 +213,27 @@
         }
     }
 
+    /** Continues a resumable stream at another target, because its target is about to pause. */
+    void moveAway(Attempt leaving) {
+        AttemptPolicy.History after = history.after(AttemptResult.BROKEN_STREAM);
+        boolean movable =
+                !ended
+                        && attempt == leaving
+                        && request.route().kind() == RequestKind.RESUMABLE_STREAM;
+        if (movable
+                && services.attemptPolicy()
+                        .isRetried(
+                                request.route(),
+                                service,
+                                AttemptResult.BROKEN_STREAM,
+                                after,
+                                left())) {
+            leaving.abandon();
+            history = after;
+            resend(leaving);
+        }
+    }
+
     private void resend(Attempt failed) {
         tried.add(failed.targetId());
         attempt = null;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeServices.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeServices.java
@@ -20,6 +20,7 @@
         AttemptPolicy attemptPolicy,
         ConnectionPool targetConnections,
         WireDialect dialect,
+        ActiveAttempts activeAttempts,
         RelayMetrics metrics,
         Scheduler scheduler,
         InstantSource clock,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
@@ -17,6 +17,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
@@ -37,7 +38,10 @@
 public final class ReportLink {
 
     /** Interval between rounds: loads change within the time of a few requests. */
-    private static final Duration INTERVAL = Duration.ofMillis(400);
+    private static final Duration INTERVAL = Duration.ofMillis(200);
+
+    /** Time for which a reported change of weights counts: a few reports. */
+    private static final Duration CHANGE_LIFETIME = Duration.ofMillis(700);
 
     /** Least pause between reports that changes cause. */
     private static final Duration LEAST_PAUSE = Duration.ofMillis(60);
@@ -47,6 +51,7 @@
 
     private final Beliefs beliefs;
     private final Supplier<DaemonReport> ownReport;
+    private final Consumer<String> onChanging;
     private final EventLoop eventLoop;
     private final Scheduler scheduler;
     private final InstantSource clock;
@@ -60,16 +65,19 @@
      * Creates a link that is not open yet.
      *
      * @param ownReport makes this daemon's report
+     * @param onChanging moves work off a target that is about to load weights
      */
     public ReportLink(
             Beliefs beliefs,
             Supplier<DaemonReport> ownReport,
+            Consumer<String> onChanging,
             EventLoop eventLoop,
             Scheduler scheduler,
             InstantSource clock,
             DecisionLog log) {
         this.beliefs = beliefs;
         this.ownReport = ownReport;
+        this.onChanging = onChanging;
         this.eventLoop = eventLoop;
         this.scheduler = scheduler;
         this.clock = clock;
@@ -197,12 +205,25 @@
                                 if (target.weightVersion() > 0) {
                                     state.hearWeightVersion(target.weightVersion());
                                 }
-                                if (target.changingWeights() && report.orderHolder()) {
-                                    state.changingWeightsUntil(now.plus(INTERVAL.multipliedBy(2)));
+                                if (report.orderHolder()) {
+                                    acceptChange(state, target, now);
                                 }
                             });
         }
 
+        private void acceptChange(
+                TargetState state, DaemonReport.TargetReport target, Instant now) {
+            boolean before = state.isChangingWeights(now);
+            if (!target.changingWeights()) {
+                state.changingWeightsUntil(now);
+                return;
+            }
+            state.changingWeightsUntil(now.plus(CHANGE_LIFETIME));
+            if (!before) {
+                onChanging.accept(target.target());
+            }
+        }
+
         private static boolean isSameIncarnation(
                 TargetState state, DaemonReport.TargetReport target) {
             return state.incarnation().startedAt().toEpochMilli() == target.startedAtMilliseconds();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.fleet.RegisteredTarget;
@@ -30,13 +31,19 @@
 public final class WeightRollout {
 
     /** Interval between looks at what there is to order: a small part of a load's time. */
-    private static final Duration INTERVAL = Duration.ofMillis(150);
+    private static final Duration INTERVAL = Duration.ofMillis(100);
 
-    /** Time after an order before the engine is asked for its state: most of a load. */
-    private static final Duration FIRST_QUESTION = Duration.ofMillis(1_700);
+    /** Time without new requests before an order: most short runs end in it. */
+    private static final Duration PREPARATION = Duration.ofMillis(350);
+
+    /** Time after an order when the next engine is prepared: a load less its preparation. */
+    private static final Duration NEARLY_LOADED = Duration.ofMillis(1_550);
+
+    /** Time after an order before the engine is asked for its state: a load. */
+    private static final Duration FIRST_QUESTION = Duration.ofMillis(1_900);
 
     /** Interval between questions to an engine that loads. */
-    private static final Duration NEXT_QUESTION = Duration.ofMillis(350);
+    private static final Duration NEXT_QUESTION = Duration.ofMillis(150);
 
     /** Pause before an engine that answered with a failure is ordered again. */
     private static final Duration FAILURE_PAUSE = Duration.ofMillis(700);
@@ -51,7 +58,7 @@
     private final Beliefs beliefs;
     private final EngineOrders orders;
     private final OrderLease lease;
-    private final Runnable reportSoon;
+    private final Consumer<TargetIncarnation> onChanging;
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final DecisionLog log;
@@ -61,14 +68,14 @@
      * Creates a rollout that does nothing yet.
      *
      * @param self name of this daemon
-     * @param reportSoon tells other daemons which engines load
+     * @param onChanging moves work off an engine, on this daemon and the others
      */
     public WeightRollout(
             String self,
             Beliefs beliefs,
             EngineOrders orders,
             OrderLease lease,
-            Runnable reportSoon,
+            Consumer<TargetIncarnation> onChanging,
             Scheduler scheduler,
             InstantSource clock,
             DecisionLog log) {
@@ -76,7 +83,7 @@
         this.beliefs = beliefs;
         this.orders = orders;
         this.lease = lease;
-        this.reportSoon = reportSoon;
+        this.onChanging = onChanging;
         this.scheduler = scheduler;
         this.clock = clock;
         this.log = log;
@@ -95,16 +102,18 @@
         progress.keySet().removeIf(known -> !isPresent(known));
         boolean outdated =
                 engines.stream().anyMatch(engine -> RolloutPlanner.isOutdated(engine, newest));
-        if (!outdated || !isCandidate()) {
+        boolean underWay =
+                engines.stream()
+                        .anyMatch(engine -> engine.phase() == RolloutPlanner.Phase.PREPARING);
+        if (!outdated && !underWay || !isCandidate()) {
             return;
         }
         lease.pursue();
         if (lease.usableFencingNumber().isEmpty()) {
             return;
         }
-        for (WeightOrder order : RolloutPlanner.plan(engines, newest)) {
-            begin(order, now);
-        }
+        RolloutPlanner.plan(engines, newest).forEach(order -> prepare(order, now));
+        orderPrepared(engines(newest, now), newest, now);
     }
 
     private boolean isPresent(TargetIncarnation incarnation) {
@@ -149,29 +158,51 @@
     private RolloutPlanner.EngineWeights view(RegisteredTarget target, String model, Instant now) {
         TargetState state = beliefs.targetStates().of(target.incarnation());
         Progress known = progress.get(target.incarnation());
-        boolean loading = known != null && known.isLoading(now);
         boolean paused = known != null && now.isBefore(known.pausedUntil);
         int version = state.weightVersion().orElse(target.weightVersions().get(model));
         return new RolloutPlanner.EngineWeights(
                 target,
                 model,
                 version,
-                loading,
+                known == null ? RolloutPlanner.Phase.NONE : known.phase(now),
                 !paused && state.health().isUsable(now),
                 state.load().totalRequests(now));
     }
 
-    private void begin(WeightOrder order, Instant now) {
+    private void prepare(WeightOrder order, Instant now) {
         Progress current =
                 progress.computeIfAbsent(order.engine().incarnation(), engine -> new Progress());
-        current.startedAt = now;
-        current.loading = true;
+        current.preparedAt = now;
+        current.loading = false;
         keepRequestsAway(order, now);
-        reportSoon.run();
-        if (current.ordersKnown) {
-            send(order, current);
-        } else {
-            ask(order, current, true);
+        onChanging.accept(order.engine().incarnation());
+        if (!current.ordersKnown) {
+            ask(order, current, false);
+        }
+    }
+
+    /** Orders the engines whose preparation is over, while few enough load. */
+    private void orderPrepared(
+            List<RolloutPlanner.EngineWeights> engines,
+            Map<String, Integer> newest,
+            Instant now) {
+        for (RolloutPlanner.EngineWeights engine : engines) {
+            if (engine.phase() != RolloutPlanner.Phase.PREPARING) {
+                continue;
+            }
+            WeightOrder order =
+                    new WeightOrder(engine.engine(), engine.model(), newest.get(engine.model()));
+            keepRequestsAway(order, now);
+            Progress current = progress.get(engine.engine().incarnation());
+            boolean prepared = !now.isBefore(current.preparedAt.plus(PREPARATION));
+            if (prepared
+                    && current.ordersKnown
+                    && RolloutPlanner.mayLoadAnother(engines(newest, now))) {
+                current.preparedAt = null;
+                current.loading = true;
+                current.orderedAt = now;
+                send(order, current);
+            }
         }
     }
 
@@ -219,7 +250,7 @@
                 current.orders++;
                 askLater(order, current, FIRST_QUESTION);
             }
-            case ALREADY_HOLDS, CONFLICT -> ask(order, current, false);
+            case ALREADY_HOLDS, CONFLICT -> ask(order, current, true);
             case FENCED -> {
                 lease.onFenced();
                 pause(current);
@@ -231,12 +262,13 @@
 
     private void pause(Progress current) {
         current.loading = false;
+        current.preparedAt = null;
         current.pausedUntil = clock.instant().plus(FAILURE_PAUSE);
     }
 
     private void askLater(WeightOrder order, Progress current, Duration delay) {
         renewWhileLoading(order, current);
-        scheduler.schedule(delay, () -> ask(order, current, false));
+        scheduler.schedule(delay, () -> ask(order, current, true));
     }
 
     /** Keeps requests away for as long as the load takes. */
@@ -255,20 +287,25 @@
                 });
     }
 
-    private void ask(WeightOrder order, Progress current, boolean thenSend) {
+    /**
+     * Asks an engine for its state.
+     *
+     * @param ordered whether the engine was ordered, or is only prepared
+     */
+    private void ask(WeightOrder order, Progress current, boolean ordered) {
         orders.report(order.engine(), order.model())
                 .whenComplete(
                         (report, failure) -> {
-                            if (failure != null) {
-                                log.write(
-                                        DecisionKind.ORDER,
-                                        order.engine().id(),
-                                        () -> "" + failure,
-                                        "no report");
-                                pause(current);
+                            if (failure == null) {
+                                onReport(order, current, report, ordered);
                                 return;
                             }
-                            onReport(order, current, report, thenSend);
+                            log.write(
+                                    DecisionKind.ORDER,
+                                    order.engine().id(),
+                                    () -> "" + failure,
+                                    "no report");
+                            pause(current);
                         });
     }
 
@@ -276,47 +313,64 @@
             WeightOrder order,
             Progress current,
             EngineOrders.EngineReport report,
-            boolean thenSend) {
+            boolean ordered) {
         current.orders = report.orders();
         current.ordersKnown = true;
-        TargetState state = beliefs.targetStates().of(order.engine().incarnation());
-        if (report.busy()) {
+        if (report.busy() && ordered) {
             askLater(order, current, NEXT_QUESTION);
             return;
         }
+        TargetState state = beliefs.targetStates().of(order.engine().incarnation());
         if (report.version() > 0 && state.weightVersion().orElse(0) != report.version()) {
             state.observeWeightVersion(report.version());
             beliefs.heldParts().forget(order.engine().incarnation().toString());
         }
         if (report.version() >= order.version()) {
-            current.loading = false;
-            state.changingWeightsUntil(clock.instant());
-            log.write(
-                    DecisionKind.ORDER,
-                    order.engine().id(),
-                    () -> "orders=" + report.orders(),
-                    "has version " + report.version());
-            reportSoon.run();
-            return;
-        }
-        if (thenSend) {
-            send(order, current);
-        } else {
+            finish(order, current, report);
+        } else if (ordered) {
             pause(current);
         }
     }
 
+    private void finish(
+            WeightOrder order, Progress current, EngineOrders.EngineReport report) {
+        current.loading = false;
+        current.preparedAt = null;
+        beliefs.targetStates()
+                .of(order.engine().incarnation())
+                .changingWeightsUntil(clock.instant());
+        log.write(
+                DecisionKind.ORDER,
+                order.engine().id(),
+                () -> "orders=" + report.orders(),
+                "has version " + report.version());
+        onChanging.accept(order.engine().incarnation());
+    }
+
     private static final class Progress {
 
         private boolean loading;
         private boolean renewing;
         private boolean ordersKnown;
         private long orders;
-        private Instant startedAt = Instant.EPOCH;
+        private Instant preparedAt;
+        private Instant orderedAt = Instant.EPOCH;
         private Instant pausedUntil = Instant.EPOCH;
 
+        private RolloutPlanner.Phase phase(Instant now) {
+            if (preparedAt != null) {
+                return RolloutPlanner.Phase.PREPARING;
+            }
+            if (!isLoading(now)) {
+                return RolloutPlanner.Phase.NONE;
+            }
+            return now.isBefore(orderedAt.plus(NEARLY_LOADED))
+                    ? RolloutPlanner.Phase.LOADING
+                    : RolloutPlanner.Phase.NEARLY_LOADED;
+        }
+
         private boolean isLoading(Instant now) {
-            return loading && now.isBefore(startedAt.plus(LONGEST_LOAD));
+            return loading && now.isBefore(orderedAt.plus(LONGEST_LOAD));
         }
     }
 }
