Follow engines' cache events and keep requests from engines outdated for too long

Change: events of all engines and the store are followed; parts come from the store or from an engine that reported them; engines outdated for longer than the setting get no requests; one engine at a time loads while all are busy.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetState.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetState.java
@@ -22,6 +22,7 @@
     private OptionalInt weightVersion = OptionalInt.empty();
     private Instant changingWeightsUntil = Instant.EPOCH;
     private Instant refusingUntil = Instant.EPOCH;
+    private Instant heardAt = Instant.EPOCH;
 
     /** Creates the state of a target that nothing is known about. */
     public TargetState(TargetIncarnation incarnation) {
@@ -71,6 +72,16 @@
         refusingUntil = now.plus(WEIGHT_CHANGE_PAUSE);
     }
 
+    /** Notes bytes of an answer from the target. */
+    public void heard(Instant now) {
+        heardAt = now;
+    }
+
+    /** Returns whether the target sent anything to this daemon after an instant. */
+    public boolean isHeardSince(Instant instant) {
+        return heardAt.isAfter(instant);
+    }
+
     /** Returns whether the target is expected to run a request soon. */
     public boolean isAccepting(Instant now) {
         return health.isUsable(now)
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -10,6 +10,8 @@
  *     users accept: its answers lose a fifth of their value
  * @param newlyOutdated penalty for an engine whose weights became outdated only just
  * @param failure penalty for an engine that fails all its requests
+ * @param foreignToken penalty for each shared token that an engine does not hold although it is not
+ *     the first choice for the prompt's subject: another engine may be reading it just now
  * @param otherDataCentre penalty for bytes between data centres
  */
 public record EngineCosts(
@@ -18,8 +20,9 @@
         double outdatedWeights,
         double newlyOutdated,
         double failure,
+        double foreignToken,
         double otherDataCentre) {
 
     /** The figures of the first users' engines. */
-    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 350, 60, 2_000, 3);
+    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 350, 60, 2_000, 0.02, 3);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -25,27 +25,39 @@
     /** Time for which answers on the weights before keep their full value; stated by the users. */
     private static final Duration ACCEPTED_DELAY = Duration.ofMillis(1_500);
 
+    /** Longest time that a request is expected to wait at an engine before it begins. */
+    private static final Duration QUEUEING_TIME = Duration.ofMillis(2_500);
+
     private final String dataCentre;
     private final TargetStates states;
     private final HeldParts heldParts;
+    private final HeldParts expectedParts;
     private final EngineCosts costs;
+    private final Duration longestOutdated;
     private final InstantSource clock;
 
     /**
      * Creates a placement.
      *
      * @param dataCentre where this daemon is
+     * @param heldParts what engines report to hold
+     * @param expectedParts what engines will hold after the requests of this daemon
+     * @param longestOutdated time after which requests may no longer begin on outdated weights
      */
     public EnginePlacement(
             String dataCentre,
             TargetStates states,
             HeldParts heldParts,
+            HeldParts expectedParts,
             EngineCosts costs,
+            Duration longestOutdated,
             InstantSource clock) {
         this.dataCentre = dataCentre;
         this.states = states;
         this.heldParts = heldParts;
+        this.expectedParts = expectedParts;
         this.costs = costs;
+        this.longestOutdated = longestOutdated;
         this.clock = clock;
     }
 
@@ -57,12 +69,17 @@
      */
     public record Choice(RegisteredTarget target, int prefillTokens, double predicted) {}
 
+    /** Tells since when a version of a model's weights is outdated, or nothing if it is not. */
+    @FunctionalInterface
+    public interface OutdatedSince {
+
+        /** Returns when the first newer version was named, or empty. */
+        Optional<Instant> of(int version);
+    }
+
     /** What a request brings to its placement. */
     public record Demand(
-            NamedPrompt prompt,
-            Organisation organisation,
-            OptionalInt newestVersion,
-            Optional<Instant> namedAt) {}
+            NamedPrompt prompt, Organisation organisation, OutdatedSince outdatedSince) {}
 
     /**
      * Returns the best engine, or empty if none takes requests.
@@ -76,6 +93,7 @@
                 engines.stream()
                         .filter(engine -> !tried.contains(engine.id()))
                         .filter(engine -> serves(engine, demand.prompt().model()))
+                        .filter(engine -> !isTooOld(engine, demand, now))
                         .toList();
         List<RegisteredTarget> accepting =
                 untried.stream()
@@ -111,46 +129,53 @@
             RegisteredTarget engine, Demand demand, Optional<String> home, Instant now) {
         TargetState state = states.of(engine.incarnation());
         NamedPrompt prompt = demand.prompt();
-        int cached = cachedTokens(engine, state, demand, home);
+        boolean isHome = home.filter(engine.id()::equals).isPresent();
+        int cached = isHome ? prompt.sharedTokens() : cachedTokens(engine, state, demand);
         int uncached = Math.max(0, prompt.promptTokens() - cached);
         double predicted =
                 (state.load().totalPrefillTokens(now) + uncached)
                         / costs.prefillTokensPerMillisecond();
         predicted += costs.running() * state.load().totalRequests(now);
         predicted += costs.failure() * state.health().failureRate();
-        if (isOutdated(state, demand.newestVersion())) {
-            predicted += outdatedPenalty(demand, now);
-        }
+        predicted += outdatedPenalty(outdatedSince(engine, demand), now);
         if (!engine.dataCentre().equals(dataCentre)) {
             predicted += costs.otherDataCentre();
         }
+        if (!isHome) {
+            predicted += costs.foreignToken() * Math.max(0, prompt.sharedTokens() - cached);
+        }
         return new Choice(engine, uncached, predicted);
     }
 
-    /** The home of a subject is taken to have read its shared parts for some other daemon. */
-    private int cachedTokens(
-            RegisteredTarget engine, TargetState state, Demand demand, Optional<String> home) {
+    private int cachedTokens(RegisteredTarget engine, TargetState state, Demand demand) {
         NamedPrompt prompt = demand.prompt();
         int version = state.weightVersion().orElse(0);
         CacheScope scope = CacheScope.of(demand.organisation(), prompt.model(), version);
-        int known =
-                heldParts.leadingTokens(
-                        engine.incarnation().toString(), scope, prompt.sharedParts());
-        boolean isHome = home.filter(engine.id()::equals).isPresent();
-        return isHome ? Math.max(known, prompt.sharedTokens()) : known;
+        String holder = engine.incarnation().toString();
+        return Math.max(
+                heldParts.leadingTokens(holder, scope, prompt.sharedParts()),
+                expectedParts.leadingTokens(holder, scope, prompt.sharedParts()));
     }
 
-    private double outdatedPenalty(Demand demand, Instant now) {
-        boolean fresh =
-                demand.namedAt()
-                        .filter(at -> now.isBefore(at.plus(ACCEPTED_DELAY)))
-                        .isPresent();
-        return fresh ? costs.newlyOutdated() : costs.outdatedWeights();
+    private Optional<Instant> outdatedSince(RegisteredTarget engine, Demand demand) {
+        OptionalInt version = states.of(engine.incarnation()).weightVersion();
+        return version.isPresent()
+                ? demand.outdatedSince().of(version.getAsInt())
+                : Optional.empty();
     }
 
-    private static boolean isOutdated(TargetState state, OptionalInt newest) {
-        return newest.isPresent()
-                && state.weightVersion().isPresent()
-                && state.weightVersion().getAsInt() < newest.getAsInt();
+    /** A request may wait at the engine, so that the bound ends some time before the users'. */
+    private boolean isTooOld(RegisteredTarget engine, Demand demand, Instant now) {
+        return outdatedSince(engine, demand)
+                .filter(since -> now.isAfter(since.plus(longestOutdated).minus(QUEUEING_TIME)))
+                .isPresent();
+    }
+
+    private double outdatedPenalty(Optional<Instant> since, Instant now) {
+        if (since.isEmpty()) {
+            return 0;
+        }
+        boolean accepted = now.isBefore(since.get().plus(ACCEPTED_DELAY));
+        return accepted ? costs.newlyOutdated() : costs.outdatedWeights();
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
@@ -11,6 +11,9 @@
     /** Engines that load at once; with more, each takes longer. Stated by the platform. */
     public static final int MOST_LOADING = 2;
 
+    /** Engines that load at once while the others have more work than they can do in time. */
+    public static final int MOST_LOADING_WHEN_BUSY = 1;
+
     private RolloutPlanner() {}
 
     /** Where an engine is in the change of its weights. */
@@ -44,9 +47,10 @@
      * Returns the engines to prepare now: the oldest weights first, then the least loaded.
      *
      * @param newest newest named version by model; versions between are skipped
+     * @param mostLoading engines that may be under way at once
      */
     public static List<WeightOrder> plan(
-            List<EngineWeights> engines, Map<String, Integer> newest) {
+            List<EngineWeights> engines, Map<String, Integer> newest, int mostLoading) {
         long underWay =
                 engines.stream()
                         .filter(
@@ -61,7 +65,7 @@
                         Comparator.comparingInt(EngineWeights::version)
                                 .thenComparing(EngineWeights::requests)
                                 .thenComparing(engine -> engine.engine().id()))
-                .limit(Math.max(0, MOST_LOADING - underWay))
+                .limit(Math.max(0, mostLoading - underWay))
                 .map(
                         engine ->
                                 new WeightOrder(
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/CacheStoreTraits.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/CacheStoreTraits.java
@@ -5,5 +5,7 @@
  *
  * @param address IP address and port
  * @param capacityTokens tokens that it holds
+ * @param linkMegabits speed of its link, in megabits a second
  */
-public record CacheStoreTraits(String address, String dataCentre, long capacityTokens) {}
+public record CacheStoreTraits(
+        String address, String dataCentre, long capacityTokens, double linkMegabits) {}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -40,7 +40,7 @@
 import org.bergamothoist.gateway.caller.RequestFilters;
 import org.bergamothoist.gateway.client.ConnectionPool;
 import org.bergamothoist.gateway.client.HttpCaller;
-import org.bergamothoist.gateway.control.CacheStoreFollower;
+import org.bergamothoist.gateway.control.CacheFollowers;
 import org.bergamothoist.gateway.control.MetricsPage;
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.control.ReportLink;
@@ -122,7 +122,7 @@
     private final RecordRelay relay;
     private final OrderLease lease;
     private final WeightRollout rollout;
-    private final CacheStoreFollower cacheStore;
+    private final CacheFollowers caches;
     private long reportSequence;
     private boolean stopping;
     private boolean refusing;
@@ -154,7 +154,8 @@
                         eventLoop, exchangeServices(platform, targets), beliefs.configuration());
         this.readiness = new SideServer(eventLoop, platform.readinessHandlers(this), log);
         this.directory = new SideServer(eventLoop, platform.directoryHandlers(this), log);
-        this.reports = new ReportLink(
+        this.reports =
+                new ReportLink(
                         beliefs,
                         this::report,
                         activeAttempts::moveStreams,
@@ -187,9 +188,8 @@
                         Duration.ofMillis(settings.orderLeaseMilliseconds()),
                         clock,
                         log);
-        this.cacheStore =
-                new CacheStoreFollower(
-                        beliefs, platform.cacheEvents(controlCaller), scheduler, log);
+        this.caches =
+                new CacheFollowers(beliefs, platform.cacheEvents(controlCaller), scheduler, log);
         this.rollout =
                 new WeightRollout(
                         self.name(),
@@ -221,8 +221,11 @@
                                 settings.dataCentre(),
                                 beliefs.targetStates(),
                                 beliefs.heldParts(),
+                                beliefs.expectedParts(),
                                 EngineCosts.STANDARD,
+                                Duration.ofMillis(settings.longestOutdatedMilliseconds()),
                                 clock),
+                        clock,
                         random);
         RequestFilters filters =
                 new RequestFilters(beliefs.configuration(), () -> refusing, random);
@@ -285,7 +288,7 @@
         publish();
         relay.start();
         rollout.start();
-        cacheStore.start();
+        caches.start();
         checkLapsed();
         log.write(
                 DecisionKind.DAEMON_STARTED,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param orderLeaseMilliseconds least time between the orders of two daemons
  * @param graceSeconds time from the signal to stop until the process is killed
  * @param retryShare share of requests that may be sent once more, over all daemons
+ * @param longestOutdatedMilliseconds time after which no request may begin on outdated weights
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record GatewaySettings(
@@ -40,7 +41,8 @@
         @JsonProperty("store") String store,
         @JsonProperty("order_lease_milliseconds") long orderLeaseMilliseconds,
         @JsonProperty("grace_seconds") double graceSeconds,
-        @JsonProperty("retry_share") double retryShare) {
+        @JsonProperty("retry_share") double retryShare,
+        @JsonProperty("longest_outdated_milliseconds") long longestOutdatedMilliseconds) {
 
     private static final int LARGEST_PORT = 65_535;
 
@@ -88,6 +90,9 @@
         if (graceSeconds <= 0) {
             faults.add("grace_seconds: must be above 0");
         }
+        if (longestOutdatedMilliseconds <= 0) {
+            faults.add("longest_outdated_milliseconds: must be above 0");
+        }
         if (retryShare < 0 || retryShare > 1) {
             faults.add("retry_share: must be from 0 to 1");
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -75,6 +75,11 @@
         opened.send(head, body, this);
     }
 
+    /** Returns whether the target answers other requests, so that this one only waits its turn. */
+    boolean isTargetHeardWithin(Duration time) {
+        return state().isHeardSince(services.clock().instant().minus(time));
+    }
+
     boolean wasSent() {
         return sentAt != null;
     }
@@ -205,6 +210,7 @@
 
     @Override
     public void onContent(ByteBuf content) {
+        state().heard(services.clock().instant());
         if (rejected != null) {
             return;
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.bergamothoist.gateway.caller;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -21,9 +22,7 @@
 /** Chooses a request's target and what that is told. */
 public final class Dispatcher {
 
-    /**
-     * Shared tokens from which fetching is asked for: two blocks of an engine's memory.
-     */
+    /** Shared tokens from which fetching is asked for: two blocks of an engine's memory. */
     private static final int LEAST_FETCHED_TOKENS = 32;
 
     /** Least urgent priority that a target knows. */
@@ -32,6 +31,7 @@
     private final Beliefs beliefs;
     private final ServicePlacement services;
     private final EnginePlacement engines;
+    private final InstantSource clock;
     private final DoubleSupplier random;
 
     /**
@@ -43,10 +43,12 @@
             Beliefs beliefs,
             ServicePlacement services,
             EnginePlacement engines,
+            InstantSource clock,
             DoubleSupplier random) {
         this.beliefs = beliefs;
         this.services = services;
         this.engines = engines;
+        this.clock = clock;
         this.random = random;
     }
 
@@ -87,8 +89,9 @@
                 new EnginePlacement.Demand(
                         prompt.get(),
                         request.organisation().orElse(null),
-                        beliefs.namedWeights().newest(prompt.get().model()),
-                        beliefs.namedWeights().namedAt(prompt.get().model()));
+                        version ->
+                                beliefs.namedWeights()
+                                        .outdatedSince(prompt.get().model(), version));
         return engines.choose(targets, demand, tried)
                 .map(choice -> toEngine(request, choice, traits.get(), left, lastEventId));
     }
@@ -126,15 +129,12 @@
         CacheScope scope =
                 CacheScope.of(
                         request.organisation().orElse(null), prompt.model(), version.orElse(0));
-        Optional<String> store = cacheStore(request, prompt, version);
-        Optional<String> saveTo =
-                store.filter(address -> !beliefs.cacheStore().holds(scope, prompt));
-        beliefs.heldParts()
-                .add(
-                        target.incarnation().toString(),
-                        scope,
-                        prompt.parts(),
-                        traits.cacheTokens());
+        Sources sources =
+                version.isPresent() && prompt.sharedTokens() >= LEAST_FETCHED_TOKENS
+                        ? sources(request, target, scope)
+                        : Sources.NONE;
+        beliefs.expectedParts()
+                .add(target.incarnation().toString(), scope, prompt.parts(), traits.cacheTokens());
         Forwarding forwarding =
                 new Forwarding(
                         target.id(),
@@ -143,22 +143,61 @@
                         priority(request),
                         version,
                         Optional.of(scope),
-                        store,
-                        saveTo,
+                        sources.fetchFrom(),
+                        sources.saveTo(),
                         lastEventId);
         return new Dispatch(target, state, forwarding, choice.prefillTokens());
     }
 
-    /** Parts made on unknown weights neither come from the store nor go there. */
-    private Optional<String> cacheStore(
-            RequestContext request, NamedPrompt prompt, OptionalInt version) {
-        if (version.isEmpty() || prompt.sharedTokens() < LEAST_FETCHED_TOKENS) {
-            return Optional.empty();
+    /** Where prompt parts come from and go to; neither for parts made on unknown weights. */
+    private record Sources(Optional<String> fetchFrom, Optional<String> saveTo) {
+
+        private static final Sources NONE = new Sources(Optional.empty(), Optional.empty());
+    }
+
+    private Sources sources(RequestContext request, RegisteredTarget target, CacheScope scope) {
+        NamedPrompt prompt = request.head().prompt().orElseThrow();
+        String own = target.incarnation().toString();
+        int held = beliefs.heldParts().leadingTokens(own, scope, prompt.sharedParts());
+        if (prompt.sharedTokens() - held < LEAST_FETCHED_TOKENS) {
+            return Sources.NONE;
+        }
+        Optional<CacheStoreTraits> store =
+                request.configuration()
+                        .cacheStore()
+                        .filter(known -> beliefs.cacheStore().isReachable(known.address()));
+        boolean stored = store.isPresent() && beliefs.cacheStore().holds(scope, prompt);
+        if (stored) {
+            return new Sources(store.map(CacheStoreTraits::address), Optional.empty());
+        }
+        Optional<RegisteredTarget> neighbour = bestNeighbour(target, scope, prompt, held);
+        return new Sources(
+                neighbour
+                        .map(RegisteredTarget::address)
+                        .or(() -> store.map(CacheStoreTraits::address)),
+                store.map(CacheStoreTraits::address));
+    }
+
+    /** Returns the usable engine that holds the most of a prompt, beyond what the target holds. */
+    private Optional<RegisteredTarget> bestNeighbour(
+            RegisteredTarget target, CacheScope scope, NamedPrompt prompt, int held) {
+        RegisteredTarget best = null;
+        int most = held + LEAST_FETCHED_TOKENS - 1;
+        for (RegisteredTarget engine : beliefs.targets().accepting(target.service())) {
+            TargetState state = beliefs.targetStates().of(engine.incarnation());
+            if (engine.id().equals(target.id()) || !state.health().isUsable(clock.instant())) {
+                continue;
+            }
+            int tokens =
+                    beliefs.heldParts()
+                            .leadingTokens(
+                                    engine.incarnation().toString(), scope, prompt.sharedParts());
+            if (tokens > most) {
+                most = tokens;
+                best = engine;
+            }
         }
-        return request.configuration()
-                .cacheStore()
-                .map(CacheStoreTraits::address)
-                .filter(beliefs.cacheStore()::isReachable);
+        return Optional.ofNullable(best);
     }
 
     private static Optional<String> organisationName(RequestContext request) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -195,16 +195,17 @@
         if (ended || attempt == null) {
             return;
         }
+        Duration objective = request.route().latencyObjective();
+        if (request.route().kind().isStream() && attempt.isTargetHeardWithin(objective)) {
+            watchSilence();
+            return;
+        }
         AttemptPolicy.History after = history.after(AttemptResult.NO_ANSWER);
         boolean goesOn = !relay.isStarted() || request.route().kind().isStream();
         if (goesOn
                 && services.attemptPolicy()
                         .isRetried(
-                                request.route(),
-                                service,
-                                AttemptResult.NO_ANSWER,
-                                after,
-                                left())) {
+                                request.route(), service, AttemptResult.NO_ANSWER, after, left())) {
             Attempt silent = attempt;
             silent.abandon();
             silent.noteFailure(AttemptResult.NO_ANSWER, "silent");
@@ -269,7 +270,8 @@
         boolean claimed = retryClaimed;
         retryClaimed = false;
         return claimed
-                || services.attemptPolicy().isRetried(request.route(), service, result, history, left());
+                || services.attemptPolicy()
+                        .isRetried(request.route(), service, result, history, left());
     }
 
     /**
@@ -283,7 +285,11 @@
                         && request.route().kind().isRepeatable()
                         && services.attemptPolicy()
                                 .isRetried(
-                                        request.route(), service, AttemptResult.SERVER_ERROR, after, left());
+                                        request.route(),
+                                        service,
+                                        AttemptResult.SERVER_ERROR,
+                                        after,
+                                        left());
         return retryClaimed;
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEvents.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEvents.java
@@ -13,8 +13,9 @@
      *
      * @param epoch differs for each run of the holder
      * @param next number from which to go on
+     * @param lost whether events before the first one are missing
      */
-    record EventPage(long epoch, long next, List<CacheEvent> events) {}
+    record EventPage(long epoch, long next, boolean lost, List<CacheEvent> events) {}
 
     /**
      * Reads events.
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -54,6 +54,9 @@
     /** Time for which other requests are kept from an engine that loads, unless it is renewed. */
     private static final Duration CHANGE_TIME = Duration.ofMillis(700);
 
+    /** Prompt tokens that wait at an engine on average when it is busy: about 0.25 s of reading. */
+    private static final double BUSY_PREFILL_TOKENS = 18_000;
+
     private final String self;
     private final Beliefs beliefs;
     private final EngineOrders orders;
@@ -112,10 +115,27 @@
         if (lease.usableFencingNumber().isEmpty()) {
             return;
         }
-        RolloutPlanner.plan(engines, newest).forEach(order -> prepare(order, now));
+        RolloutPlanner.plan(engines, newest, mostLoading(engines, now))
+                .forEach(order -> prepare(order, now));
         orderPrepared(engines(newest, now), newest, now);
     }
 
+    private int mostLoading(List<RolloutPlanner.EngineWeights> engines, Instant now) {
+        double waiting =
+                engines.stream()
+                        .mapToLong(
+                                engine ->
+                                        beliefs.targetStates()
+                                                .of(engine.engine().incarnation())
+                                                .load()
+                                                .totalPrefillTokens(now))
+                        .average()
+                        .orElse(0);
+        return waiting > BUSY_PREFILL_TOKENS
+                ? RolloutPlanner.MOST_LOADING_WHEN_BUSY
+                : RolloutPlanner.MOST_LOADING;
+    }
+
     private boolean isPresent(TargetIncarnation incarnation) {
         return beliefs.targets()
                 .find(incarnation.id())
@@ -183,9 +203,7 @@
 
     /** Orders the engines whose preparation is over, while few enough load. */
     private void orderPrepared(
-            List<RolloutPlanner.EngineWeights> engines,
-            Map<String, Integer> newest,
-            Instant now) {
+            List<RolloutPlanner.EngineWeights> engines, Map<String, Integer> newest, Instant now) {
         for (RolloutPlanner.EngineWeights engine : engines) {
             if (engine.phase() != RolloutPlanner.Phase.PREPARING) {
                 continue;
@@ -323,7 +341,7 @@
         TargetState state = beliefs.targetStates().of(order.engine().incarnation());
         if (report.version() > 0 && state.weightVersion().orElse(0) != report.version()) {
             state.observeWeightVersion(report.version());
-            beliefs.heldParts().forget(order.engine().incarnation().toString());
+            beliefs.forgetCache(order.engine().incarnation());
         }
         if (report.version() >= order.version()) {
             finish(order, current, report);
@@ -332,8 +350,7 @@
         }
     }
 
-    private void finish(
-            WeightOrder order, Progress current, EngineOrders.EngineReport report) {
+    private void finish(WeightOrder order, Progress current, EngineOrders.EngineReport report) {
         current.loading = false;
         current.preparedAt = null;
         beliefs.targetStates()
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/BeliefUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/BeliefUpdater.java
@@ -142,7 +142,7 @@
             state.observeWeightVersion(version);
         }
         if (!known.equals(state.weightVersion())) {
-            beliefs.heldParts().forget(state.incarnation().toString());
+            beliefs.forgetCache(state.incarnation());
         }
     }
 
@@ -159,7 +159,7 @@
     }
 
     private void forget(TargetIncarnation incarnation, String address) {
-        beliefs.heldParts().forget(incarnation.toString());
+        beliefs.forgetCache(incarnation);
         targetConnections.closeIdle(address);
     }
 
