--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
@@ -0,0 +1,103 @@
+package org.bergamothoist.core.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+
+class FeedFollowerTest implements FeedSource, FeedFollower.Observer {
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final List<String> calls = new ArrayList<>();
+    private final List<String> seen = new ArrayList<>();
+    private final Deque<CompletableFuture<Page>> pages = new ArrayDeque<>();
+    private final Deque<CompletableFuture<Listing>> listings = new ArrayDeque<>();
+    private final FeedFollower follower =
+            new FeedFollower(
+                    Feed.OPERATOR,
+                    this,
+                    new FeedFollower.Pace(Duration.ofMillis(10), Duration.ofMillis(100)),
+                    time,
+                    () -> 1.0,
+                    this);
+
+    @Override
+    public CompletionStage<Page> read(Feed feed, long from, Duration wait) {
+        calls.add("read " + from);
+        return pages.isEmpty() ? new CompletableFuture<>() : pages.poll();
+    }
+
+    @Override
+    public CompletionStage<Listing> list(Feed feed) {
+        calls.add("list");
+        return listings.isEmpty() ? new CompletableFuture<>() : listings.poll();
+    }
+
+    @Override
+    public void onListing(Feed feed, Listing listing) {
+        seen.add("listing " + listing.end());
+    }
+
+    @Override
+    public void onPage(Feed feed, Page page) {
+        seen.add("page " + page.records().size());
+    }
+
+    @Override
+    public void onLost(Feed feed, Throwable cause) {
+        seen.add("lost");
+    }
+
+    @Override
+    public void onRegained(Feed feed) {
+        seen.add("regained");
+    }
+
+    private static FeedRecord entry(long offset) {
+        return new FeedRecord("k", offset, Optional.of(new byte[] {1}));
+    }
+
+    @Test
+    void readsOnFromTheEndOfTheListing() {
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+        pages.add(CompletableFuture.completedFuture(new Page(List.of(entry(7)), 8)));
+        follower.start();
+        time.advanceMillis(30);
+        assertThat(calls).containsExactly("list", "read 7", "read 8");
+        assertThat(seen).containsExactly("regained", "listing 7", "page 1");
+    }
+
+    @Test
+    void listsAgainWhenRecordsHaveExpired() {
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+        pages.add(
+                CompletableFuture.failedFuture(
+                        new CompletionException(new ExpiredOffsetException(Feed.OPERATOR, 7))));
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 90)));
+        follower.start();
+        time.advanceMillis(30);
+        assertThat(calls).containsExactly("list", "read 7", "list", "read 90");
+    }
+
+    @Test
+    void reportsALossOnceAndGoesOnFromTheSameOffset() {
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+        pages.add(CompletableFuture.failedFuture(new IllegalStateException("down")));
+        pages.add(CompletableFuture.failedFuture(new IllegalStateException("down")));
+        pages.add(CompletableFuture.completedFuture(new Page(List.of(), 7)));
+        follower.start();
+        time.advanceMillis(1_000);
+        assertThat(calls).startsWith("list", "read 7", "read 7", "read 7");
+        assertThat(seen).containsExactly("regained", "listing 7", "lost", "regained", "page 0");
+        assertThat(follower.isReachable()).isTrue();
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorTest.java
@@ -0,0 +1,70 @@
+package org.bergamothoist.core.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FeedMirrorTest {
+
+    private final List<String> changes = new ArrayList<>();
+    private FeedMirror mirror;
+
+    @BeforeEach
+    void create() {
+        mirror = new FeedMirror((feed, entry) -> changes.add(entry.key() + "@" + entry.offset()));
+    }
+
+    private static FeedRecord put(String key, long offset) {
+        return new FeedRecord(key, offset, Optional.of(new byte[] {1}));
+    }
+
+    private static FeedRecord drop(String key, long offset) {
+        return new FeedRecord(key, offset, Optional.empty());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5,4,1", "5,5,1", "5,6,2"})
+    void takesOnlyNewerRecordsOfAKey(long first, long second, int expectedChanges) {
+        mirror.apply(Feed.TARGETS, List.of(put("a", first)));
+        mirror.apply(Feed.TARGETS, List.of(put("a", second)));
+        assertThat(changes).hasSize(expectedChanges);
+    }
+
+    @Test
+    void olderRecordDoesNotBringADroppedKeyBack() {
+        mirror.apply(Feed.TARGETS, List.of(put("a", 3), drop("a", 7)));
+        mirror.apply(Feed.TARGETS, List.of(put("a", 6)));
+        assertThat(changes).containsExactly("a@3", "a@7");
+    }
+
+    @Test
+    void keyThatAListingLacksIsGone() {
+        mirror.apply(Feed.TARGETS, List.of(put("a", 3), put("b", 4)));
+        mirror.apply(Feed.TARGETS, new FeedSource.Listing(List.of(put("b", 4)), 9));
+        assertThat(changes).containsExactly("a@3", "b@4", "a@8");
+        assertThat(mirror.since(Feed.TARGETS, 4)).singleElement().matches(r -> r.value().isEmpty());
+    }
+
+    @Test
+    void staleListingDoesNotRemoveNewerKeys() {
+        mirror.apply(Feed.TARGETS, List.of(put("a", 30)));
+        mirror.apply(Feed.TARGETS, new FeedSource.Listing(List.of(), 20));
+        assertThat(changes).containsExactly("a@30");
+    }
+
+    @Test
+    void relaysRecordsAboveAnOffset() {
+        mirror.apply(Feed.OPERATOR, List.of(put("a", 1), put("b", 2), put("c", 3)));
+        assertThat(mirror.since(Feed.OPERATOR, 1))
+                .extracting(FeedRecord::key)
+                .containsExactly("b", "c");
+        assertThat(mirror.newestOffset(Feed.OPERATOR)).isEqualTo(3);
+        assertThat(mirror.newestOffset(Feed.TARGETS)).isEqualTo(-1);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -0,0 +1,90 @@
+package org.bergamothoist.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.Map;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TargetRegistryTest {
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final TargetRegistry registry = new TargetRegistry(time);
+
+    private static RegisteredTarget target(String id, long start, boolean leaving) {
+        return new RegisteredTarget(
+                new TargetIncarnation(id, Instant.ofEpochMilli(start)),
+                "service",
+                "10.0.0.1:80",
+                "a",
+                6,
+                leaving,
+                Map.of());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "10,5,10,4,NONE",
+        "10,5,10,6,LEAVING",
+        "10,5,9,9,NONE",
+        "10,5,11,1,ADDED",
+    })
+    void newestReportOfTheNewestIncarnationCounts(
+            long start, long report, long laterStart, long laterReport, String change) {
+        registry.register(target("t", start, false), report);
+        assertThat(registry.register(target("t", laterStart, true), laterReport))
+                .isEqualTo(TargetRegistry.Change.valueOf(change));
+    }
+
+    @Test
+    void leavingTargetGetsNoNewWork() {
+        registry.register(target("t", 1, false), 1);
+        registry.register(target("t", 1, true), 2);
+        assertThat(registry.accepting("service")).isEmpty();
+        assertThat(registry.all()).hasSize(1);
+    }
+
+    @Test
+    void registrationThatEndsIsGoneAtOnce() {
+        registry.register(target("t", 1, false), 1);
+        assertThat(registry.remove("t")).isEqualTo(TargetRegistry.Change.REMOVED);
+        assertThat(registry.accepting("service")).isEmpty();
+    }
+
+    @Test
+    void registrationThatLapsedWhileTheSourceWasAwayStaysUntilTheGraceIsOver() {
+        registry.register(target("t", 1, false), 1);
+        registry.sourceLost();
+        time.advanceMillis(5_000);
+        registry.sourceRegained();
+        assertThat(registry.remove("t")).isEqualTo(TargetRegistry.Change.LAPSED);
+        time.advanceMillis(1_900);
+        assertThat(registry.dropLapsed()).isEmpty();
+        assertThat(registry.accepting("service")).hasSize(1);
+        time.advanceMillis(200);
+        assertThat(registry.dropLapsed()).containsExactly("t");
+        assertThat(registry.accepting("service")).isEmpty();
+    }
+
+    @Test
+    void renewedRegistrationIsNoLongerLapsed() {
+        registry.register(target("t", 1, false), 1);
+        registry.sourceLost();
+        registry.remove("t");
+        registry.sourceRegained();
+        registry.register(target("t", 1, false), 2);
+        time.advanceMillis(3_000);
+        assertThat(registry.dropLapsed()).isEmpty();
+        assertThat(registry.accepting("service")).hasSize(1);
+    }
+
+    @Test
+    void leavingTargetDoesNotStayBecauseTheSourceWasAway() {
+        registry.register(target("t", 1, true), 1);
+        registry.sourceLost();
+        assertThat(registry.remove("t")).isEqualTo(TargetRegistry.Change.REMOVED);
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
@@ -0,0 +1,145 @@
+package org.bergamothoist.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class OrderLeaseTest {
+
+    private static final Duration LEASE = Duration.ofSeconds(3);
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final FakeTopic topic = new FakeTopic();
+    private final OrderLease first = lease("first");
+    private final OrderLease second = lease("second");
+
+    private OrderLease lease(String name) {
+        return new OrderLease(name, topic, LEASE, time, (kind, subject, inputs, outcome) -> {});
+    }
+
+    private final class FakeTopic implements LeaseTopic {
+
+        private final List<Holding> records = new ArrayList<>();
+        private boolean down;
+        private boolean losesAnswers;
+
+        @Override
+        public CompletionStage<Tail> read() {
+            if (down) {
+                return CompletableFuture.failedFuture(new IllegalStateException("down"));
+            }
+            Optional<Holding> newest =
+                    records.isEmpty()
+                            ? Optional.empty()
+                            : Optional.of(records.get(records.size() - 1));
+            return CompletableFuture.completedFuture(new Tail(newest, records.size()));
+        }
+
+        @Override
+        public CompletionStage<OptionalLong> append(Holding holding, long end) {
+            if (down) {
+                return CompletableFuture.failedFuture(new IllegalStateException("down"));
+            }
+            if (end != records.size()) {
+                return CompletableFuture.completedFuture(OptionalLong.empty());
+            }
+            records.add(holding);
+            return losesAnswers
+                    ? CompletableFuture.failedFuture(new IllegalStateException("lost"))
+                    : CompletableFuture.completedFuture(OptionalLong.of(end + 1));
+        }
+    }
+
+    private void run(OrderLease lease, long milliseconds) {
+        for (long passed = 0; passed < milliseconds; passed += 100) {
+            lease.pursue();
+            time.advanceMillis(100);
+        }
+    }
+
+    @Test
+    void holdsAfterTheFirstAppend() {
+        run(first, 200);
+        assertThat(first.usableFencingNumber()).hasValue(1);
+    }
+
+    @Test
+    void renewsUnderTheSameNumber() {
+        run(first, 5_000);
+        assertThat(first.usableFencingNumber()).hasValue(1);
+        assertThat(topic.records).hasSizeGreaterThan(5);
+    }
+
+    @Test
+    void isNotUsableOnceTheStoreIsAwayForTheWindow() {
+        run(first, 300);
+        topic.down = true;
+        run(first, OrderLease.ORDER_WINDOW.toMillis() + 100);
+        assertThat(first.usableFencingNumber()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500, 2_000})
+    void ordersOfTwoHoldersAreApartByTheLease(long pause) {
+        run(first, 1_000);
+        Instant lastUse = time.instant();
+        while (first.usableFencingNumber().isPresent()) {
+            lastUse = time.instant();
+            time.advanceMillis(50);
+        }
+        time.advanceMillis(pause);
+        while (second.usableFencingNumber().isEmpty()) {
+            second.pursue();
+            time.advanceMillis(50);
+        }
+        assertThat(Duration.between(lastUse, time.instant())).isGreaterThan(LEASE);
+        assertThat(second.usableFencingNumber().getAsLong()).isGreaterThan(1);
+    }
+
+    @Test
+    void formerHolderStepsBackWhenAnotherTookOver() {
+        run(first, 300);
+        run(second, 6_000);
+        assertThat(second.usableFencingNumber()).isPresent();
+        run(first, 300);
+        assertThat(first.isHolder()).isFalse();
+        assertThat(first.usableFencingNumber()).isEmpty();
+    }
+
+    @Test
+    void appendWithoutAnAnswerIsNotUsedBeforeItIsConfirmed() {
+        topic.losesAnswers = true;
+        first.pursue();
+        first.pursue();
+        assertThat(first.usableFencingNumber()).isEmpty();
+        topic.losesAnswers = false;
+        run(first, 300);
+        assertThat(first.usableFencingNumber()).hasValue(2);
+    }
+
+    @Test
+    void restartedHolderGoesOnUnderANewNumber() {
+        run(first, 300);
+        OrderLease restarted = lease("first");
+        run(restarted, 300);
+        assertThat(restarted.usableFencingNumber().getAsLong()).isGreaterThan(1);
+    }
+
+    @Test
+    void stepsBackWhenATargetHasSeenAHigherNumber() {
+        run(first, 300);
+        first.onFenced();
+        assertThat(first.usableFencingNumber()).isEmpty();
+    }
+}
