--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -86,6 +86,11 @@
     /** Time after the signal to stop in which requests are still taken: callers keep answers. */
     private static final Duration STILL_ACCEPTING = Duration.ofMillis(3_000);
 
+    /** Part of the grace in which requests are still taken at most, so that these can end. */
+    private static final double STILL_ACCEPTING_SHARE = 0.4;
+
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
     /** Time before the kill at which the daemon ends whatever is in progress. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
@@ -124,6 +129,7 @@
     private final WeightRollout rollout;
     private final CacheFollowers caches;
     private long reportSequence;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
     private boolean refusing;
 
@@ -371,12 +377,11 @@
 
     /** Stops: takes no new callers, finishes what is in progress, and completes the stage. */
     public CompletionStage<Void> stop() {
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
-        eventLoop.execute(() -> beginStop(stopped));
+        eventLoop.execute(this::beginStop);
         return stopped;
     }
 
-    private void beginStop(CompletableFuture<Void> stopped) {
+    private void beginStop() {
         if (stopping) {
             return;
         }
@@ -389,26 +394,33 @@
                 self.toString(),
                 () -> "requests=" + callers.busyConnections(),
                 "not ready");
+        Duration share = grace(STILL_ACCEPTING_SHARE);
         scheduler.schedule(
-                STILL_ACCEPTING,
+                share.compareTo(STILL_ACCEPTING) < 0 ? share : STILL_ACCEPTING,
                 () -> {
                     refusing = true;
                     callers.stopListening();
-                    finish(signalledAt, stopped);
+                    finish(signalledAt);
                 });
     }
 
-    private void finish(Instant signalledAt, CompletableFuture<Void> stopped) {
-        Duration grace = Duration.ofMillis(Math.round(settings.graceSeconds() * 1_000));
-        boolean late = !clock.instant().isBefore(signalledAt.plus(grace).minus(STOP_MARGIN));
+    private Duration grace(double share) {
+        double milliseconds = settings.graceSeconds() * MILLISECONDS_PER_SECOND * share;
+        return Duration.ofMillis(Math.round(milliseconds));
+    }
+
+    private void finish(Instant signalledAt) {
+        Instant end = signalledAt.plus(grace(1)).minus(STOP_MARGIN);
+        boolean late = !clock.instant().isBefore(end);
         long busy = callers.busyConnections();
         if (busy > 0 && !late) {
-            scheduler.schedule(STOP_CHECK, () -> finish(signalledAt, stopped));
+            scheduler.schedule(STOP_CHECK, () -> finish(signalledAt));
             return;
         }
         log.write(
                 DecisionKind.DAEMON_STOPPED, self.toString(), () -> "requests=" + busy, "stopped");
         stopped.complete(null);
+        group.shutdownGracefully();
     }
 
     /** Brings what was read to the mirror, and notes losses of the store. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerRelay.java
@@ -74,10 +74,12 @@
         }
     }
 
+    /** Returns whether an event has begun that the target has not completed. */
+    boolean endsInsideAnEvent() {
+        return events != null && events.isIncomplete();
+    }
+
     void complete() {
-        if (events != null) {
-            caller.sendContent(events.rest());
-        }
         caller.finish();
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -233,6 +233,10 @@
             fail(rejected, rejection);
             return;
         }
+        if (exchange.relay().endsInsideAnEvent()) {
+            fail(AttemptResult.BROKEN_STREAM, "the stream ends inside an event");
+            return;
+        }
         endLoad();
         state().health().onSuccess(services.clock().instant());
         exchange.relay().complete();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnection.java
@@ -106,7 +106,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject part = (HttpObject) message;
-        if (answering && !receiving) {
+        if (answering && !receiving || !waiting.isEmpty()) {
             waiting.add(part);
             if (waiting.size() > MOST_WAITING) {
                 channel.config().setAutoRead(false);
@@ -257,12 +257,16 @@
             return;
         }
         if (!receiving) {
-            next();
+            // The target's connection returns to its pool before the next request is sent.
+            channel.eventLoop().execute(this::next);
         }
     }
 
     /** Goes on with what came while the last request was answered. */
     private void next() {
+        if (answering || receiving) {
+            return;
+        }
         exchange = null;
         channel.config().setAutoRead(true);
         while (!waiting.isEmpty() && (!answering || receiving)) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EventSplitter.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EventSplitter.java
@@ -64,9 +64,9 @@
         pending.clear();
     }
 
-    /** Returns what is left at the end of a complete stream; the caller releases it. */
-    ByteBuf rest() {
-        return pending.readBytes(pending.readableBytes());
+    /** Returns whether an event has begun that is not complete. */
+    boolean isIncomplete() {
+        return pending.isReadable();
     }
 
     /** Returns the identifier of the last complete event, or empty. */
