--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -65,9 +65,11 @@
      * A chosen engine.
      *
      * @param prefillTokens prompt tokens that it presumably has to read
-     * @param predicted predicted time to the first token, in milliseconds
+     * @param predicted predicted time to the first token, with penalties, in milliseconds
+     * @param queueing predicted time until it begins with the request
      */
-    public record Choice(RegisteredTarget target, int prefillTokens, double predicted) {}
+    public record Choice(
+            RegisteredTarget target, int prefillTokens, double predicted, Duration queueing) {}
 
     /** Tells since when a version of a model's weights is outdated, or nothing if it is not. */
     @FunctionalInterface
@@ -144,7 +146,8 @@
         if (!isHome) {
             predicted += costs.foreignToken() * Math.max(0, prompt.sharedTokens() - cached);
         }
-        return new Choice(engine, uncached, predicted);
+        double wait = state.load().totalPrefillTokens(now) / costs.prefillTokensPerMillisecond();
+        return new Choice(engine, uncached, predicted, Duration.ofMillis(Math.round(wait)));
     }
 
     private int cachedTokens(RegisteredTarget engine, TargetState state, Demand demand) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.prefix.EngineCosts;
 import org.bergamothoist.core.prefix.EnginePlacement;
+import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.AttemptPolicy;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.core.time.SteadyClock;
@@ -239,6 +240,7 @@
                 filters.chain(),
                 dispatcher,
                 new AttemptPolicy(new RetryBudgets(settings.retryShare(), RETRY_RESERVE)),
+                new AdmissionPolicy(random),
                 targets,
                 platform.dialect(),
                 activeAttempts,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Dispatcher.java
@@ -56,9 +56,14 @@
      * A chosen target.
      *
      * @param prefillTokens prompt tokens that it presumably has to read; 0 for plain services
+     * @param queueing predicted time until it begins with the request; 0 for plain services
      */
     public record Dispatch(
-            RegisteredTarget target, TargetState state, Forwarding forwarding, int prefillTokens) {}
+            RegisteredTarget target,
+            TargetState state,
+            Forwarding forwarding,
+            int prefillTokens,
+            Duration queueing) {}
 
     /** Draws the service that a request goes to. */
     public String drawService(RequestContext request) {
@@ -113,7 +118,7 @@
                         Optional.empty(),
                         lastEventId);
         TargetState state = beliefs.targetStates().of(target.incarnation());
-        return new Dispatch(target, state, forwarding, 0);
+        return new Dispatch(target, state, forwarding, 0, Duration.ZERO);
     }
 
     private Dispatch toEngine(
@@ -146,7 +151,7 @@
                         sources.fetchFrom(),
                         sources.saveTo(),
                         lastEventId);
-        return new Dispatch(target, state, forwarding, choice.prefillTokens());
+        return new Dispatch(target, state, forwarding, choice.prefillTokens(), choice.queueing());
     }
 
     /** Where prompt parts come from and go to; neither for parts made on unknown weights. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -87,6 +87,7 @@
 
     private void refuse(Refusal refusal) {
         ended = true;
+        timeout.cancel();
         release();
         services.log()
                 .write(
@@ -135,6 +136,18 @@
             return;
         }
         Dispatcher.Dispatch dispatch = chosen.get();
+        Optional<Duration> returnAfter = returnAfter(dispatch);
+        if (returnAfter.isPresent()) {
+            refuse(
+                    new Refusal(
+                            UNAVAILABLE,
+                            ErrorCode.LIMIT_EXCEEDED,
+                            "the least loaded engine is busy for "
+                                    + dispatch.queueing().toMillis()
+                                    + " ms",
+                            returnAfter));
+            return;
+        }
         attempt = new Attempt(services, dispatch, this);
         services.metrics().attempted();
         services.log()
@@ -147,6 +160,17 @@
         watchSilence();
     }
 
+    /** Only first attempts are refused for load; what has begun goes on. */
+    private Optional<Duration> returnAfter(Dispatcher.Dispatch dispatch) {
+        return history.equals(AttemptPolicy.History.NONE)
+                ? services.admissionPolicy()
+                        .returnAfter(
+                                request.route(),
+                                dispatch.queueing(),
+                                dispatch.forwarding().priority())
+                : Optional.empty();
+    }
+
     private String describe(Dispatcher.Dispatch dispatch) {
         Instant now = services.clock().instant();
         return "route="
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeServices.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeServices.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.AttemptPolicy;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.client.ConnectionPool;
@@ -18,6 +19,7 @@
         List<RequestFilter> filters,
         Dispatcher dispatcher,
         AttemptPolicy attemptPolicy,
+        AdmissionPolicy admissionPolicy,
         ConnectionPool targetConnections,
         WireDialect dialect,
         ActiveAttempts activeAttempts,
