Explain a request from the logs; check a gateway's settings; guard the platform's names

Cause: on-call engineers have only logs and metrics, and nothing kept platform names out of the product.

--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/BergamothoistCommand.java
@@ -23,6 +23,8 @@
             MeasureCapacityCommand.class,
             ServeCommand.class,
             CheckSettingsCommand.class,
+            CheckGatewaySettingsCommand.class,
+            ExplainCommand.class,
             SheetCommand.class,
             StatusCommand.class,
             TimelineCommand.class,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
@@ -38,11 +38,11 @@
         Map<String, ServiceDefinition> named = new HashMap<>();
         services.forEach(service -> named.put(service.name(), service));
         this.services = Map.copyOf(named);
-        Map<String, Organisation> keyed = new HashMap<>();
+        Map<String, Organisation> byKey = new HashMap<>();
         organisations.forEach(
                 organisation ->
-                        organisation.callerKeys().forEach(key -> keyed.put(key, organisation)));
-        this.organisationsByKey = Map.copyOf(keyed);
+                        organisation.callerKeys().forEach(key -> byKey.put(key, organisation)));
+        this.organisationsByKey = Map.copyOf(byKey);
     }
 
     private static Map<String, List<Route>> byHost(List<Route> routes) {
