--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/GatewayCommandsTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/GatewayCommandsTest.java
@@ -66,7 +66,8 @@
 
     private static String line(String time, String event, String subject, String outcome) {
         String format =
-                "{'time':'%s','daemon':'d','event':'%s','subject':'%s','inputs':'i','outcome':'%s'}";
+                "{'time':'%s','daemon':'d','event':'%s','subject':'%s','inputs':'i',"
+                        + "'outcome':'%s'}";
         return format.replace('\'', '"').formatted(time, event, subject, outcome);
     }
 
