Load the next engine when the load before it is presumably over; avoid outdated engines less

Change: a load counts as over after its stated time; the penalty is 160 ms, 20 ms in the first 1.5 s.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -24,5 +24,5 @@
         double otherDataCentre) {
 
     /** The figures of the first users' engines. */
-    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 350, 60, 2_000, 0.02, 3);
+    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 160, 20, 2_000, 0.02, 3);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
@@ -25,7 +25,9 @@
         /** It was ordered to load. */
         LOADING,
         /** It was ordered long enough ago for the next engine to be prepared. */
-        NEARLY_LOADED
+        NEARLY_LOADED,
+        /** It was ordered long enough ago for the next engine to load; its report is not in yet. */
+        PRESUMABLY_LOADED
     }
 
     /**
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -39,8 +39,11 @@
     /** Time after an order when the next engine is prepared: a load less its preparation. */
     private static final Duration NEARLY_LOADED = Duration.ofMillis(1_550);
 
-    /** Time after an order before the engine is asked for its state: a load. */
-    private static final Duration FIRST_QUESTION = Duration.ofMillis(1_900);
+    /** Time that a load takes; stated by the users. */
+    private static final Duration LOAD_TIME = Duration.ofMillis(1_950);
+
+    /** Time after an order before the engine is asked for its state. */
+    private static final Duration FIRST_QUESTION = LOAD_TIME;
 
     /** Interval between questions to an engine that loads. */
     private static final Duration NEXT_QUESTION = Duration.ofMillis(150);
@@ -381,9 +384,12 @@
             if (!isLoading(now)) {
                 return RolloutPlanner.Phase.NONE;
             }
-            return now.isBefore(orderedAt.plus(NEARLY_LOADED))
-                    ? RolloutPlanner.Phase.LOADING
-                    : RolloutPlanner.Phase.NEARLY_LOADED;
+            if (now.isBefore(orderedAt.plus(NEARLY_LOADED))) {
+                return RolloutPlanner.Phase.LOADING;
+            }
+            return now.isBefore(orderedAt.plus(LOAD_TIME))
+                    ? RolloutPlanner.Phase.NEARLY_LOADED
+                    : RolloutPlanner.Phase.PRESUMABLY_LOADED;
         }
 
         private boolean isLoading(Instant now) {
