--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
@@ -74,11 +74,6 @@
                 .toList();
     }
 
-    /** Returns a daemon's last report if it is alive. */
-    public Optional<DaemonReport> alive(String name) {
-        return alive().stream().filter(report -> report.daemon().name().equals(name)).findFirst();
-    }
-
     /** Returns the addresses that reports are sent to. */
     public List<String> receivers() {
         Instant oldest = clock.instant().minus(FORGET);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -79,11 +79,6 @@
         return fencingNumber > 0;
     }
 
-    /** Returns the last known holder. */
-    public Optional<String> holder() {
-        return tailKnown ? tail.newest().map(LeaseTopic.Holding::holder) : Optional.<String>empty();
-    }
-
     /** Notes that a target has seen a higher fencing number. */
     public void onFenced() {
         log.write(
@@ -144,6 +139,8 @@
                             calling = false;
                             if (failure == null) {
                                 see(read);
+                            } else {
+                                noteFailure("not read", failure);
                             }
                         });
     }
@@ -173,6 +170,9 @@
                 .whenComplete(
                         (newEnd, failure) -> {
                             calling = false;
+                            if (failure != null) {
+                                noteFailure("append without an answer", failure);
+                            }
                             if (failure != null || newEnd.isEmpty()) {
                                 tailKnown = false;
                                 return;
@@ -181,6 +181,14 @@
                         });
     }
 
+    private void noteFailure(String outcome, Throwable failure) {
+        log.write(
+                DecisionKind.LEASE_CHANGED,
+                NAME,
+                () -> "fencing=" + fencingNumber + " " + failure,
+                outcome);
+    }
+
     private void confirm(LeaseTopic.Holding holding, long newEnd, Instant sentAt, boolean renewal) {
         tail = new LeaseTopic.Tail(Optional.of(holding), newEnd);
         tailSeenAt = sentAt;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/CacheStoreTraits.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/CacheStoreTraits.java
@@ -5,7 +5,5 @@
  *
  * @param address IP address and port
  * @param capacityTokens tokens that it holds
- * @param linkMegabits speed of its link, in megabits a second
  */
-public record CacheStoreTraits(
-        String address, String dataCentre, long capacityTokens, double linkMegabits) {}
+public record CacheStoreTraits(String address, String dataCentre, long capacityTokens) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/EngineTraits.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/EngineTraits.java
@@ -7,11 +7,9 @@
  *
  * @param batchSlots requests that an engine processes at once
  * @param cacheTokens tokens that an engine's KV cache holds
- * @param bytesPerToken size of a token in the KV cache
  * @param models names of the models that engines serve
  */
-public record EngineTraits(
-        int batchSlots, long cacheTokens, int bytesPerToken, List<String> models) {
+public record EngineTraits(int batchSlots, long cacheTokens, List<String> models) {
 
     public EngineTraits {
         models = List.copyOf(models);
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/gossip/DaemonDirectoryTest.java
@@ -0,0 +1,65 @@
+package org.bergamothoist.core.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.bergamothoist.core.identity.DaemonId;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DaemonDirectoryTest {
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final DaemonDirectory directory = new DaemonDirectory(new DaemonId("self", 1), time);
+
+    private static DaemonReport report(
+            String name, long incarnation, long sequence, String dataCentre, boolean ready) {
+        return new DaemonReport(
+                new DaemonId(name, incarnation),
+                sequence,
+                name + ":1",
+                name + ":2",
+                dataCentre,
+                ready,
+                true,
+                false,
+                1,
+                List.of());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1,5,1,6,true", "1,5,1,5,false", "1,5,2,1,true", "2,5,1,9,false"})
+    void onlyNewerReportsCount(
+            long incarnation, long sequence, long later, long laterSequence, boolean accepted) {
+        directory.accept(report("a", incarnation, sequence, "x", true));
+        assertThat(directory.accept(report("a", later, laterSequence, "x", true)))
+                .isEqualTo(accepted);
+    }
+
+    @Test
+    void readyDaemonsOfTheCallersDataCentreComeFirst() {
+        directory.accept(report("far", 1, 1, "y", true));
+        directory.accept(report("near", 1, 1, "x", true));
+        directory.accept(report("stopping", 1, 1, "x", false));
+        assertThat(directory.callerAddresses(Optional.of("self:1"), "y", "x", 64))
+                .containsExactly("near:1", "self:1", "far:1");
+    }
+
+    @Test
+    void silentDaemonIsNoLongerNamed() {
+        directory.accept(report("a", 1, 1, "x", true));
+        time.advanceMillis(DaemonDirectory.SILENCE.toMillis() + 1);
+        assertThat(directory.callerAddresses(Optional.empty(), "x", "x", 64)).isEmpty();
+        assertThat(directory.receivers()).containsExactly("a:2");
+    }
+
+    @Test
+    void addressThatWasOnlyHeardOfGetsReportsButIsNotNamed() {
+        directory.hearOf("b:2");
+        assertThat(directory.receivers()).containsExactly("b:2");
+        assertThat(directory.callerAddresses(Optional.empty(), "x", "x", 64)).isEmpty();
+    }
+}
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -0,0 +1,129 @@
+package org.bergamothoist.core.prefix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.bergamothoist.core.fleet.RegisteredTarget;
+import org.bergamothoist.core.fleet.TargetIncarnation;
+import org.bergamothoist.core.fleet.TargetStates;
+import org.bergamothoist.core.route.Organisation;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class EnginePlacementTest {
+
+    private static final NamedPrompt PROMPT =
+            new NamedPrompt(
+                    "m",
+                    9_000,
+                    20,
+                    List.of(
+                            new PromptPart("instruction", 2_500),
+                            new PromptPart("history", 3_500),
+                            new PromptPart("question", 3_000)));
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final TargetStates states = new TargetStates();
+    private final HeldParts held = new HeldParts();
+    private final EnginePlacement placement =
+            new EnginePlacement(
+                    "a",
+                    states,
+                    held,
+                    new HeldParts(),
+                    EngineCosts.STANDARD,
+                    Duration.ofSeconds(15),
+                    time);
+    private final List<RegisteredTarget> engines =
+            List.of(engine("e-1", 1), engine("e-2", 1), engine("e-3", 1));
+
+    private RegisteredTarget engine(String id, int version) {
+        TargetIncarnation incarnation = new TargetIncarnation(id, Instant.EPOCH);
+        states.of(incarnation).observeWeightVersion(version);
+        return new RegisteredTarget(
+                incarnation, "s", "10.0.0.1:80", "a", 128, false, Map.of("m", version));
+    }
+
+    private String choose(EnginePlacement.OutdatedSince outdated, Set<String> tried) {
+        EnginePlacement.Demand demand = new EnginePlacement.Demand(PROMPT, null, outdated);
+        return placement
+                .choose(engines, demand, tried)
+                .map(choice -> choice.target().id())
+                .orElse("none");
+    }
+
+    private String home() {
+        return EnginePlacement.home(engines, "history").orElseThrow();
+    }
+
+    @Test
+    void idleEnginesAreChosenAlikeByAllDaemons() {
+        assertThat(choose(version -> Optional.empty(), Set.of())).isEqualTo(home());
+    }
+
+    @Test
+    void holderOfThePartsIsPreferredToABusyHome() {
+        states.find(home()).orElseThrow().load().begin(60_000);
+        RegisteredTarget other =
+                engines.stream().filter(one -> !one.id().equals(home())).findFirst().orElseThrow();
+        held.add(
+                other.incarnation().toString(),
+                CacheScope.of(null, "m", 1),
+                PROMPT.sharedParts(),
+                100_000);
+        assertThat(choose(version -> Optional.empty(), Set.of())).isEqualTo(other.id());
+    }
+
+    @Test
+    void triedAndRefusingEnginesAreLeftOut() {
+        String first = choose(version -> Optional.empty(), Set.of());
+        String second = choose(version -> Optional.empty(), Set.of(first));
+        assertThat(second).isNotEqualTo(first);
+        states.find(second).orElseThrow().refused(time.instant());
+        assertThat(choose(version -> Optional.empty(), Set.of(first))).isNotIn(first, second);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,true", "12,true", "13,false", "60,false"})
+    void enginesOutdatedForTooLongGetNoRequests(int seconds, boolean used) {
+        Instant since = time.instant().minusSeconds(seconds);
+        assertThat(!choose(version -> Optional.of(since), Set.of()).equals("none")).isEqualTo(used);
+    }
+
+    @Test
+    void outdatedEngineIsAvoidedWhileAnotherThatHoldsThePartsIsFree() {
+        for (RegisteredTarget engine : engines) {
+            held.add(
+                    engine.incarnation().toString(),
+                    CacheScope.of(null, "m", 1),
+                    PROMPT.sharedParts(),
+                    100_000);
+        }
+        states.find(home()).orElseThrow().observeWeightVersion(0);
+        Instant since = time.instant().minusSeconds(5);
+        EnginePlacement.OutdatedSince outdated =
+                version -> version < 1 ? Optional.of(since) : Optional.empty();
+        assertThat(choose(outdated, Set.of())).isNotEqualTo(home());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true,true,false", "true,false,false", "false,false,true"})
+    void isolatedOrganisationsShareNoScope(boolean first, boolean second, boolean shared) {
+        CacheScope one = CacheScope.of(organisation("one", first), "m", 1);
+        CacheScope two = CacheScope.of(organisation("two", second), "m", 1);
+        assertThat(one.equals(two)).isEqualTo(shared);
+        assertThat(one).isNotEqualTo(CacheScope.of(organisation("one", first), "m", 2));
+    }
+
+    private static Organisation organisation(String name, boolean isolated) {
+        return new Organisation(name, List.of(), OptionalInt.empty(), isolated);
+    }
+}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -312,9 +312,14 @@
                         (done, failure) -> {
                             if (failure == null) {
                                 daemonsFeed.start();
-                            } else {
-                                scheduler.schedule(PUBLISH_PAUSE, this::publish);
+                                return;
                             }
+                            log.write(
+                                    DecisionKind.DEPENDENCY_LOST,
+                                    "store",
+                                    () -> "own address: " + failure,
+                                    "not published, will be repeated");
+                            scheduler.schedule(PUBLISH_PAUSE, this::publish);
                         });
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -357,6 +357,7 @@
             return;
         }
         boolean notRun = history.certainlyNotRun() && !wasSent;
+        history = wasSent ? history.after(AttemptResult.NO_ANSWER) : history;
         answer(
                 notRun
                         ? Refusal.of(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheFollowers.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheFollowers.java
@@ -96,6 +96,7 @@
         private final String holder;
         private final long capacity;
         private long epoch = -1;
+        private boolean failing;
 
         private EngineObserver(TargetIncarnation incarnation, long capacity) {
             this.holder = incarnation.toString();
@@ -104,6 +105,7 @@
 
         @Override
         public void onEvents(String address, CacheEvents.EventPage page) {
+            failing = false;
             if (page.epoch() != epoch && epoch >= 0 || page.lost()) {
                 beliefs.heldParts().forget(holder);
                 beliefs.expectedParts().forget(holder);
@@ -121,7 +123,14 @@
 
         @Override
         public void onFailure(Throwable cause) {
-            // The next call tells; the health of engines is judged by requests.
+            if (!failing) {
+                failing = true;
+                log.write(
+                        DecisionKind.DEPENDENCY_LOST,
+                        holder,
+                        () -> "" + cause,
+                        "cache events not read; the engine's health is judged by requests");
+            }
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -98,7 +98,13 @@
                         (answer, failure) -> {
                             if (failure == null && answer.status() == SUCCESS) {
                                 accept(daemon, answer);
+                                return;
                             }
+                            log.write(
+                                    DecisionKind.RECORD_IGNORED,
+                                    daemon.daemon().name(),
+                                    () -> failure == null ? "" + answer.status() : "" + failure,
+                                    "no relayed records");
                         });
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/wire/WireDialect.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/wire/WireDialect.java
@@ -23,7 +23,4 @@
 
     /** Returns whether a header keeps its meaning end to end whatever a caller says. */
     boolean isEssential(String headerName);
-
-    /** Removes the target's signature from an answer whose status the relay replaces. */
-    void removeSignature(HttpHeaders headers);
 }
