--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -12,11 +12,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.feed.Feed;
 import org.bergamothoist.core.feed.FeedFollower;
 import org.bergamothoist.core.feed.FeedMirror;
@@ -267,7 +269,15 @@
                         listening.completeExceptionally(exception);
                     }
                 });
-        listening.join();
+        try {
+            listening.join();
+        } catch (CompletionException exception) {
+            gateway.group.shutdownGracefully();
+            throw new GatewayException(
+                    ErrorCode.INVALID_SETTINGS,
+                    "an address cannot be bound: " + exception.getCause().getMessage(),
+                    exception.getCause());
+        }
         return gateway;
     }
 
