Keep retries for streams that have begun; leave a healthy stream only while refusals can be followed

Change: AttemptPolicy answers one question for every failed attempt, with the request as argument. Leaving a healthy stream keeps four retries, requests without a part of their answer keep two; a stream that has begun may use all. The retry budget as a whole is unchanged. Four variations of the question in Exchange become one.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/RetryBudget.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/RetryBudget.java
@@ -43,7 +43,16 @@
 
     /** Takes one retry or hedge from the budget; returns false if it is exhausted. */
     public boolean tryTake() {
-        if (retries + ROUNDING < 1) {
+        return tryTake(0);
+    }
+
+    /**
+     * Takes one retry or hedge if enough are left for more important ones.
+     *
+     * @param kept retries that have to be left afterwards
+     */
+    public boolean tryTake(int kept) {
+        if (retries + ROUNDING < 1 + kept) {
             return false;
         }
         retries = Math.max(0, retries - 1);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.bergamothoist.core.limit.RetryBudgets;
+import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.route.Route;
 
 /** Decides whether a request goes to another target after a failed attempt. */
@@ -13,6 +14,15 @@
     /** Most targets tried that could not be reached or refused, so that a request ends. */
     private static final int MOST_UNRUN_ATTEMPTS = 4;
 
+    /**
+     * Repeats kept for answers that have begun, which break off without one: a refusal at each of
+     * two streams.
+     */
+    private static final int KEPT_FOR_BEGUN_ANSWERS = 2;
+
+    /** Repeats kept when a healthy stream is left: it may be refused where it goes on. */
+    private static final int KEPT_WHEN_LEAVING = KEPT_FOR_BEGUN_ANSWERS + 2;
+
     private final RetryBudgets budgets;
 
     /**
@@ -53,23 +63,45 @@
         }
     }
 
+    /**
+     * A request whose attempt has failed.
+     *
+     * @param before attempts before the failed one
+     * @param answerBegun whether the caller has a part of the answer
+     * @param left time left for an answer
+     */
+    public record Pending(
+            Route route, String service, History before, boolean answerBegun, Duration left) {}
+
     /**
      * Returns whether the request is sent once more; takes from the retry budget if so.
      *
-     * @param history includes the failed attempt
+     * @param result how the attempt failed
      */
-    public boolean isRetried(
-            Route route, String service, AttemptResult result, History history, Duration left) {
-        if (left.compareTo(LEAST_TIME_LEFT) < 0 || history.unrun() >= MOST_UNRUN_ATTEMPTS) {
+    public boolean isRetried(Pending request, AttemptResult result) {
+        History history = request.before().after(result);
+        Route route = request.route();
+        if (request.left().compareTo(LEAST_TIME_LEFT) < 0
+                || history.unrun() >= MOST_UNRUN_ATTEMPTS) {
+            return false;
+        }
+        if (request.answerBegun() && route.kind() != RequestKind.RESUMABLE_STREAM) {
             return false;
         }
-        boolean repeatable = route.kind().isRepeatable();
-        if (history.runs() > 0 && !repeatable) {
+        if (history.runs() > 0 && !route.kind().isRepeatable()) {
             return false;
         }
         if (history.runs() >= route.attempts()) {
             return false;
         }
-        return result == AttemptResult.NOT_SENT || budgets.of(service).tryTake();
+        return result == AttemptResult.NOT_SENT
+                || budgets.of(request.service()).tryTake(kept(request, result));
+    }
+
+    private static int kept(Pending request, AttemptResult result) {
+        if (result == AttemptResult.LEFT) {
+            return KEPT_WHEN_LEAVING;
+        }
+        return request.answerBegun() ? 0 : KEPT_FOR_BEGUN_ANSWERS;
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptResult.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptResult.java
@@ -13,7 +13,9 @@
     /** The target answered with a failure. */
     SERVER_ERROR,
     /** An event stream broke after its start. */
-    BROKEN_STREAM;
+    BROKEN_STREAM,
+    /** A healthy event stream was left by this daemon, because its target is about to pause. */
+    LEFT;
 
     /** Returns whether the target may have run the request. */
     public boolean mayHaveRun() {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.relay.AttemptPolicy.History;
+import org.bergamothoist.core.relay.AttemptPolicy.Pending;
 import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.route.Route;
 import org.bergamothoist.core.route.WeightedService;
@@ -32,6 +33,23 @@
                 false);
     }
 
+    private static Pending pending(RequestKind kind, int attempts, History before) {
+        return new Pending(route(kind, attempts), "s", before, false, ENOUGH);
+    }
+
+    private static Pending begunStream() {
+        Route route = route(RequestKind.RESUMABLE_STREAM, 9);
+        return new Pending(route, "s", History.NONE, true, ENOUGH);
+    }
+
+    private static int countRepeats(AttemptPolicy policy, Pending pending, AttemptResult result) {
+        int repeats = 0;
+        while (policy.isRetried(pending, result)) {
+            repeats++;
+        }
+        return repeats;
+    }
+
     @ParameterizedTest
     @CsvSource({
         "NON_IDEMPOTENT,1,NOT_SENT,true",
@@ -44,52 +62,79 @@
         "IDEMPOTENT,2,NO_ANSWER,true",
         "IDEMPOTENT,2,SERVER_ERROR,true",
         "RESUMABLE_STREAM,2,BROKEN_STREAM,true",
+        "RESUMABLE_STREAM,2,LEFT,true",
+        "RESUMABLE_STREAM,1,LEFT,false",
+        "STREAM,2,LEFT,false",
     })
     void onlyWhatCannotRunTwiceOrMayBeRepeatedIsRetried(
             RequestKind kind, int attempts, AttemptResult result, boolean expected) {
         AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0.1, 5));
-        History history = History.NONE.after(result);
-        assertThat(policy.isRetried(route(kind, attempts), "s", result, history, ENOUGH))
+        assertThat(policy.isRetried(pending(kind, attempts, History.NONE), result))
                 .isEqualTo(expected);
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "NON_IDEMPOTENT,REFUSED,false",
+        "IDEMPOTENT,NO_ANSWER,false",
+        "STREAM,REFUSED,false",
+        "RESUMABLE_STREAM,REFUSED,true",
+    })
+    void onlyAResumableStreamGoesOnAfterItsAnswerHasBegun(
+            RequestKind kind, AttemptResult result, boolean expected) {
+        AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0.1, 5));
+        Pending begun = new Pending(route(kind, 3), "s", History.NONE, true, ENOUGH);
+        assertThat(policy.isRetried(begun, result)).isEqualTo(expected);
+    }
+
     @Test
     void refusalAfterARunDoesNotMakeANonIdempotentRequestRepeatable() {
         AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0.1, 5));
-        History history = History.NONE.after(AttemptResult.NO_ANSWER).after(AttemptResult.REFUSED);
-        assertThat(history.certainlyNotRun()).isFalse();
+        History before = History.NONE.after(AttemptResult.NO_ANSWER);
+        assertThat(before.certainlyNotRun()).isFalse();
         assertThat(
                         policy.isRetried(
-                                route(RequestKind.NON_IDEMPOTENT, 3),
-                                "s",
-                                AttemptResult.REFUSED,
-                                history,
-                                ENOUGH))
+                                pending(RequestKind.NON_IDEMPOTENT, 3, before),
+                                AttemptResult.REFUSED))
                 .isFalse();
     }
 
     @Test
     void budgetIsKeptForEachService() {
-        AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0, 1));
+        AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0, 3));
         Route route = route(RequestKind.IDEMPOTENT, 2);
-        History history = History.NONE.after(AttemptResult.NO_ANSWER);
-        assertThat(policy.isRetried(route, "s", AttemptResult.NO_ANSWER, history, ENOUGH)).isTrue();
-        assertThat(policy.isRetried(route, "s", AttemptResult.NO_ANSWER, history, ENOUGH))
-                .isFalse();
-        assertThat(policy.isRetried(route, "t", AttemptResult.NO_ANSWER, history, ENOUGH)).isTrue();
+        Pending one = new Pending(route, "s", History.NONE, false, ENOUGH);
+        Pending other = new Pending(route, "t", History.NONE, false, ENOUGH);
+        assertThat(countRepeats(policy, one, AttemptResult.NO_ANSWER)).isEqualTo(1);
+        assertThat(countRepeats(policy, other, AttemptResult.NO_ANSWER)).isEqualTo(1);
+    }
+
+    /** Guards against streams that are moved with the last repeat and break off at a refusal. */
+    @Test
+    void healthyStreamsAreLeftOnlyWhileRefusalsElsewhereCanBeFollowed() {
+        AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0, 8));
+        assertThat(countRepeats(policy, begunStream(), AttemptResult.LEFT)).isEqualTo(4);
+        assertThat(countRepeats(policy, begunStream(), AttemptResult.REFUSED)).isEqualTo(4);
+    }
+
+    @Test
+    void requestsThatHaveNoAnswerYetLeaveRepeatsToBrokenStreams() {
+        AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0, 8));
+        Pending fresh = pending(RequestKind.IDEMPOTENT, 2, History.NONE);
+        assertThat(countRepeats(policy, fresh, AttemptResult.NO_ANSWER)).isEqualTo(6);
+        assertThat(countRepeats(policy, begunStream(), AttemptResult.BROKEN_STREAM)).isEqualTo(2);
     }
 
     @Test
     void nothingIsRetriedWithoutTimeLeft() {
         AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0.1, 5));
-        History history = History.NONE.after(AttemptResult.NOT_SENT);
-        assertThat(
-                        policy.isRetried(
-                                route(RequestKind.IDEMPOTENT, 2),
-                                "s",
-                                AttemptResult.NOT_SENT,
-                                history,
-                                Duration.ofMillis(5)))
-                .isFalse();
+        Pending late =
+                new Pending(
+                        route(RequestKind.IDEMPOTENT, 2),
+                        "s",
+                        History.NONE,
+                        false,
+                        Duration.ofMillis(5));
+        assertThat(policy.isRetried(late, AttemptResult.NOT_SENT)).isFalse();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -224,42 +224,42 @@
             watchSilence();
             return;
         }
-        AttemptPolicy.History after = history.after(AttemptResult.NO_ANSWER);
-        boolean goesOn = !relay.isStarted() || request.route().kind().isStream();
-        if (goesOn
-                && services.attemptPolicy()
-                        .isRetried(
-                                request.route(), service, AttemptResult.NO_ANSWER, after, left())) {
+        if (isRetried(AttemptResult.NO_ANSWER)) {
             Attempt silent = attempt;
             silent.abandon();
             silent.noteFailure(AttemptResult.NO_ANSWER, "silent");
-            history = after;
-            resend(silent);
+            resend(silent, AttemptResult.NO_ANSWER);
         }
     }
 
     /** Continues a resumable stream at another target, because its target is about to pause. */
     void moveAway(Attempt leaving) {
-        AttemptPolicy.History after = history.after(AttemptResult.BROKEN_STREAM);
         boolean movable =
                 !ended
                         && attempt == leaving
                         && request.route().kind() == RequestKind.RESUMABLE_STREAM;
-        if (movable
-                && services.attemptPolicy()
-                        .isRetried(
-                                request.route(),
-                                service,
-                                AttemptResult.BROKEN_STREAM,
-                                after,
-                                left())) {
+        if (movable && isRetried(AttemptResult.LEFT)) {
             leaving.abandon();
-            history = after;
-            resend(leaving);
+            resend(leaving, AttemptResult.LEFT);
         }
     }
 
-    private void resend(Attempt failed) {
+    private boolean isRetried(AttemptResult result) {
+        boolean canGoOn = !relay.isStarted() || relay.isResumable();
+        return canGoOn
+                && services.attemptPolicy()
+                        .isRetried(
+                                new AttemptPolicy.Pending(
+                                        request.route(),
+                                        service,
+                                        history,
+                                        relay.isStarted(),
+                                        left()),
+                                result);
+    }
+
+    private void resend(Attempt failed, AttemptResult result) {
+        history = history.after(result);
         tried.add(failed.targetId());
         attempt = null;
         relay.dropIncompleteEvent();
@@ -280,40 +280,26 @@
             return;
         }
         silence.cancel();
-        history = history.after(result);
-        boolean canGoOn = !relay.isStarted() || relay.isResumable();
-        if (canGoOn && isRetried(result)) {
-            resend(failed);
+        boolean claimed = retryClaimed;
+        retryClaimed = false;
+        if (claimed || isRetried(result)) {
+            resend(failed, result);
             return;
         }
+        history = history.after(result);
         attempt = null;
         fail(result + " at " + failed.targetId() + ": " + detail, ErrorCode.TARGET_FAILED);
     }
 
-    private boolean isRetried(AttemptResult result) {
-        boolean claimed = retryClaimed;
-        retryClaimed = false;
-        return claimed
-                || services.attemptPolicy()
-                        .isRetried(request.route(), service, result, history, left());
-    }
-
     /**
      * Returns whether a target's failure is to be followed by another attempt; if not, it is the
      * answer.
      */
     boolean claimRetry() {
-        AttemptPolicy.History after = history.after(AttemptResult.SERVER_ERROR);
         retryClaimed =
                 !relay.isStarted()
                         && request.route().kind().isRepeatable()
-                        && services.attemptPolicy()
-                                .isRetried(
-                                        request.route(),
-                                        service,
-                                        AttemptResult.SERVER_ERROR,
-                                        after,
-                                        left());
+                        && isRetried(AttemptResult.SERVER_ERROR);
         return retryClaimed;
     }
 
