Log what decides a dispatch: wait, priority, sources of prompt parts; and the time to the first byte

Change: request-dispatched names the predicted wait, the priority and where parts come from and go to; request-ended names the time to the first byte and, after a timeout, what was relayed.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -196,18 +196,11 @@
             exchange.relay().start(head, resumable);
         }
         if (!stream) {
-            firstByte();
+            exchange.onFirstByte();
             exchange.stopWatchingSilence();
         }
     }
 
-    private void firstByte() {
-        services.metrics()
-                .firstByteAfter(
-                        Duration.between(
-                                exchange.request().arrivedAt(), services.clock().instant()));
-    }
-
     @Override
     public void onContent(ByteBuf content) {
         state().heard(services.clock().instant());
@@ -216,7 +209,7 @@
         }
         if (!prefilled) {
             notePrefilled();
-            firstByte();
+            exchange.onFirstByte();
         }
         if (exchange.request().route().kind().isStream()) {
             exchange.watchSilence();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -56,6 +56,7 @@
     private Scheduler.Cancellable timeout = () -> {};
     private Scheduler.Cancellable silence = () -> {};
     private boolean retryClaimed;
+    private Duration firstByteAfter;
     private boolean ended;
 
     Exchange(
@@ -183,6 +184,12 @@
                 + dispatch.state().load().totalRequests(now)
                 + " prefill="
                 + dispatch.prefillTokens()
+                + " queueing="
+                + dispatch.queueing().toMillis()
+                + " priority="
+                + dispatch.forwarding().priority()
+                + dispatch.forwarding().fetchFrom().map(from -> " fetch=" + from).orElse("")
+                + dispatch.forwarding().saveTo().map(to -> " save=" + to).orElse("")
                 + " left="
                 + left().toMillis();
     }
@@ -266,6 +273,14 @@
         send();
     }
 
+    /** Notes that a target has begun with the body of its answer. */
+    void onFirstByte() {
+        if (firstByteAfter == null) {
+            firstByteAfter = Duration.between(request.arrivedAt(), services.clock().instant());
+            services.metrics().firstByteAfter(firstByteAfter);
+        }
+    }
+
     AnswerRelay relay() {
         return relay;
     }
@@ -338,7 +353,12 @@
             attempt.noteFailure(AttemptResult.NO_ANSWER, "timeout");
         }
         if (relay.isStarted()) {
-            end("timeout-broken", "timeout after " + request.route().timeout().toMillis() + " ms");
+            end(
+                    "timeout-broken",
+                    "timeout after "
+                            + request.route().timeout().toMillis()
+                            + " ms "
+                            + relay.describe());
             caller.breakOff();
             return;
         }
@@ -375,6 +395,9 @@
                                         + history.runs()
                                         + " unrun="
                                         + history.unrun()
+                                        + (firstByteAfter == null
+                                                ? ""
+                                                : " first-byte=" + firstByteAfter.toMillis())
                                         + " after="
                                         + Duration.between(
                                                         request.arrivedAt(),
