Weigh fetching, reading and waiting apart when an engine is chosen

Requests queued at homes of much asked subjects, and several engines read the same parts.

Change: shared parts that an engine or the store reported cost 0.008 ms a token elsewhere; parts that nobody is known to hold cost their reading everywhere and 0.05 ms a token more at other engines than the home.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -10,8 +10,10 @@
  *     users accept: its answers lose a fifth of their value
  * @param newlyOutdated penalty for an engine whose weights became outdated only just
  * @param failure penalty for an engine that fails all its requests
- * @param foreignToken penalty for each shared token that an engine does not hold although it is not
- *     the first choice for the prompt's subject: another engine may be reading it just now
+ * @param fetchedToken added for each shared token that an engine fetches from where it is held: its
+ *     transfer, and the memory that it takes from other parts
+ * @param foreignToken penalty for each shared token that nobody is known to hold, at an engine that
+ *     is not the first choice for the prompt's subject: that one may be reading it just now
  * @param otherDataCentre penalty for bytes between data centres
  */
 public record EngineCosts(
@@ -20,9 +22,11 @@
         double outdatedWeights,
         double newlyOutdated,
         double failure,
+        double fetchedToken,
         double foreignToken,
         double otherDataCentre) {
 
     /** The figures of the first users' engines. */
-    public static final EngineCosts STANDARD = new EngineCosts(74.8, 0.8, 160, 20, 2_000, 0.02, 3);
+    public static final EngineCosts STANDARD =
+            new EngineCosts(74.8, 0.8, 160, 20, 2_000, 0.008, 0.05, 3);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -32,6 +34,7 @@
     private final TargetStates states;
     private final HeldParts heldParts;
     private final HeldParts expectedParts;
+    private final CacheStoreView cacheStore;
     private final EngineCosts costs;
     private final Duration longestOutdated;
     private final InstantSource clock;
@@ -42,6 +45,7 @@
      * @param dataCentre where this daemon is
      * @param heldParts what engines report to hold
      * @param expectedParts what engines will hold after the requests of this daemon
+     * @param cacheStore what the store beside the engines holds
      * @param longestOutdated time after which requests may no longer begin on outdated weights
      */
     public EnginePlacement(
@@ -49,6 +53,7 @@
             TargetStates states,
             HeldParts heldParts,
             HeldParts expectedParts,
+            CacheStoreView cacheStore,
             EngineCosts costs,
             Duration longestOutdated,
             InstantSource clock) {
@@ -56,6 +61,7 @@
         this.states = states;
         this.heldParts = heldParts;
         this.expectedParts = expectedParts;
+        this.cacheStore = cacheStore;
         this.costs = costs;
         this.longestOutdated = longestOutdated;
         this.clock = clock;
@@ -104,8 +110,9 @@
         List<RegisteredTarget> candidates = accepting.isEmpty() ? untried : accepting;
         Optional<String> home =
                 demand.prompt().subject().flatMap(part -> home(candidates, part.id()));
+        Map<CacheScope, Integer> elsewhere = heldElsewhere(candidates, demand);
         return candidates.stream()
-                .map(engine -> rate(engine, demand, home, now))
+                .map(engine -> rate(engine, demand, home, elsewhere, now))
                 .min(Comparator.comparingDouble(Choice::predicted));
     }
 
@@ -128,38 +135,62 @@
     }
 
     private Choice rate(
-            RegisteredTarget engine, Demand demand, Optional<String> home, Instant now) {
+            RegisteredTarget engine,
+            Demand demand,
+            Optional<String> home,
+            Map<CacheScope, Integer> elsewhere,
+            Instant now) {
         TargetState state = states.of(engine.incarnation());
         NamedPrompt prompt = demand.prompt();
         boolean isHome = home.filter(engine.id()::equals).isPresent();
-        int cached = isHome ? prompt.sharedTokens() : cachedTokens(engine, state, demand);
-        int uncached = Math.max(0, prompt.promptTokens() - cached);
-        double predicted =
-                (state.load().totalPrefillTokens(now) + uncached)
-                        / costs.prefillTokensPerMillisecond();
+        CacheScope scope = scope(state, demand);
+        int cached = cachedTokens(engine, scope, prompt);
+        int fetched = Math.max(0, elsewhere.getOrDefault(scope, 0) - cached);
+        int unread = Math.max(0, prompt.sharedTokens() - cached - fetched);
+        int read = Math.max(0, prompt.promptTokens() - cached - fetched);
+        double wait = state.load().totalPrefillTokens(now) / costs.prefillTokensPerMillisecond();
+        double predicted = wait + read / costs.prefillTokensPerMillisecond();
         predicted += costs.running() * state.load().totalRequests(now);
         predicted += costs.failure() * state.health().failureRate();
         predicted += outdatedPenalty(outdatedSince(engine, demand), now);
+        predicted += costs.fetchedToken() * fetched;
         if (!engine.dataCentre().equals(dataCentre)) {
             predicted += costs.otherDataCentre();
         }
         if (!isHome) {
-            predicted += costs.foreignToken() * Math.max(0, prompt.sharedTokens() - cached);
+            predicted += costs.foreignToken() * unread;
         }
-        double wait = state.load().totalPrefillTokens(now) / costs.prefillTokensPerMillisecond();
-        return new Choice(engine, uncached, predicted, Duration.ofMillis(Math.round(wait)));
+        return new Choice(engine, read, predicted, Duration.ofMillis(Math.round(wait)));
     }
 
-    private int cachedTokens(RegisteredTarget engine, TargetState state, Demand demand) {
-        NamedPrompt prompt = demand.prompt();
-        int version = state.weightVersion().orElse(0);
-        CacheScope scope = CacheScope.of(demand.organisation(), prompt.model(), version);
+    private static CacheScope scope(TargetState state, Demand demand) {
+        return CacheScope.of(
+                demand.organisation(), demand.prompt().model(), state.weightVersion().orElse(0));
+    }
+
+    private int cachedTokens(RegisteredTarget engine, CacheScope scope, NamedPrompt prompt) {
         String holder = engine.incarnation().toString();
         return Math.max(
                 heldParts.leadingTokens(holder, scope, prompt.sharedParts()),
                 expectedParts.leadingTokens(holder, scope, prompt.sharedParts()));
     }
 
+    /** Returns the most shared tokens that an engine or the store reported, by scope. */
+    private Map<CacheScope, Integer> heldElsewhere(List<RegisteredTarget> engines, Demand demand) {
+        NamedPrompt prompt = demand.prompt();
+        Map<CacheScope, Integer> held = new HashMap<>();
+        for (RegisteredTarget engine : engines) {
+            CacheScope scope = scope(states.of(engine.incarnation()), demand);
+            String holder = engine.incarnation().toString();
+            held.merge(
+                    scope, heldParts.leadingTokens(holder, scope, prompt.sharedParts()), Math::max);
+        }
+        held.replaceAll(
+                (scope, tokens) ->
+                        cacheStore.holds(scope, prompt) ? prompt.sharedTokens() : tokens);
+        return held;
+    }
+
     private Optional<Instant> outdatedSince(RegisteredTarget engine, Demand demand) {
         OptionalInt version = states.of(engine.incarnation()).weightVersion();
         return version.isPresent()
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -33,12 +33,14 @@
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final TargetStates states = new TargetStates();
     private final HeldParts held = new HeldParts();
+    private final CacheStoreView store = new CacheStoreView(held, time);
     private final EnginePlacement placement =
             new EnginePlacement(
                     "a",
                     states,
                     held,
                     new HeldParts(),
+                    store,
                     EngineCosts.STANDARD,
                     Duration.ofSeconds(15),
                     time);
@@ -82,6 +84,35 @@
         assertThat(choose(version -> Optional.empty(), Set.of())).isEqualTo(other.id());
     }
 
+    private void holdAt(RegisteredTarget engine) {
+        held.add(
+                engine.incarnation().toString(),
+                CacheScope.of(null, "m", 1),
+                PROMPT.sharedParts(),
+                100_000);
+    }
+
+    /**
+     * Guards against one busy engine for a subject that others can fetch in a fraction of the wait.
+     */
+    @Test
+    void partsThatCanBeFetchedAreReadAtAnEngineWithAShorterQueue() {
+        RegisteredTarget home =
+                engines.stream().filter(one -> one.id().equals(home())).findFirst().orElseThrow();
+        holdAt(home);
+        states.find(home()).orElseThrow().load().begin(10_000);
+        assertThat(choose(version -> Optional.empty(), Set.of())).isNotEqualTo(home());
+    }
+
+    /**
+     * Guards against several engines that read the same parts at once, after a change of weights.
+     */
+    @Test
+    void partsThatNobodyHoldsYetAreReadAtTheHomeAlthoughItIsBusier() {
+        states.find(home()).orElseThrow().load().begin(20_000);
+        assertThat(choose(version -> Optional.empty(), Set.of())).isEqualTo(home());
+    }
+
     @Test
     void triedAndRefusingEnginesAreLeftOut() {
         String first = choose(version -> Optional.empty(), Set.of());
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -231,6 +231,7 @@
                                 beliefs.targetStates(),
                                 beliefs.heldParts(),
                                 beliefs.expectedParts(),
+                                beliefs.cacheStore(),
                                 EngineCosts.STANDARD,
                                 Duration.ofMillis(settings.longestOutdatedMilliseconds()),
                                 clock),
