Report a grown load to the other daemons at once

Change: a daemon that has sent 2,048 prompt tokens to a target since its last report sends a report of that target alone after 5 ms, in fleets of up to nine daemons (a bound on what a daemon sends).

New test: ManyDaemonsPlacementTest, one engine that becomes free before six daemons.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetLoad.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetLoad.java
@@ -14,14 +14,29 @@
     /** Age at which a report of another daemon no longer counts: a few report intervals. */
     private static final Duration REPORT_LIFETIME = Duration.ofMillis(1_500);
 
+    /** Prompt tokens sent that others hear of at once: about 27 ms of an engine's reading. */
+    private static final long REPORTED_GROWTH_TOKENS = 2_048;
+
     private int requests;
     private long prefillTokens;
+    private long unreportedTokens;
     private final Map<String, Report> reports = new HashMap<>();
 
     /** Notes a request sent to the target. */
     public void begin(long tokens) {
         requests++;
         prefillTokens += tokens;
+        unreportedTokens += tokens;
+    }
+
+    /** Returns whether others should hear of the load before the next regular report. */
+    public boolean hasGrown() {
+        return unreportedTokens >= REPORTED_GROWTH_TOKENS;
+    }
+
+    /** Notes that this daemon reports the load to others. */
+    public void reported() {
+        unreportedTokens = 0;
     }
 
     /** Notes that the target has read the prompt of a request. */
--- /dev/null
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/ManyDaemonsPlacementTest.java
@@ -0,0 +1,133 @@
+package org.bergamothoist.core.prefix;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bergamothoist.core.fleet.RegisteredTarget;
+import org.bergamothoist.core.fleet.TargetIncarnation;
+import org.bergamothoist.core.fleet.TargetLoad;
+import org.bergamothoist.core.fleet.TargetStates;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.junit.jupiter.api.Test;
+
+/** Several daemons that place requests while one engine has just become free. */
+class ManyDaemonsPlacementTest {
+
+    private static final int DAEMONS = 6;
+    private static final int PROMPT_TOKENS = 3_000;
+
+    /** Prompt tokens that wait at the engines that were in use all the while: 0.33 s of reading. */
+    private static final long BUSY_TOKENS = 25_000;
+
+    /** Time between two requests at all daemons together: 100 a second. */
+    private static final Duration BETWEEN = Duration.ofMillis(10);
+
+    /** Time until others have a report of a grown load: its gathering and the network. */
+    private static final Duration REPORT_TIME = Duration.ofMillis(8);
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final List<RegisteredTarget> engines = new ArrayList<>();
+    private final List<TargetStates> views = new ArrayList<>();
+    private final List<EnginePlacement> placements = new ArrayList<>();
+
+    private void start(int count) {
+        for (int index = 0; index < count; index++) {
+            engines.add(
+                    new RegisteredTarget(
+                            new TargetIncarnation("engine-" + index, Instant.EPOCH),
+                            "s",
+                            "10.0.0.1:80",
+                            "a",
+                            128,
+                            false,
+                            Map.of("m", 1)));
+        }
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            TargetStates states = new TargetStates();
+            HeldParts held = new HeldParts();
+            views.add(states);
+            placements.add(
+                    new EnginePlacement(
+                            "a",
+                            states,
+                            held,
+                            new HeldParts(),
+                            new CacheStoreView(held, time),
+                            EngineCosts.STANDARD,
+                            Duration.ofSeconds(15),
+                            time));
+            for (RegisteredTarget engine : engines.subList(1, count)) {
+                load(daemon, engine).begin(BUSY_TOKENS / DAEMONS);
+            }
+        }
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            for (RegisteredTarget engine : engines) {
+                report(daemon, engine);
+            }
+        }
+    }
+
+    private TargetLoad load(int daemon, RegisteredTarget engine) {
+        return views.get(daemon).of(engine.incarnation()).load();
+    }
+
+    private void report(int daemon, RegisteredTarget engine) {
+        TargetLoad own = load(daemon, engine);
+        own.reported();
+        for (int other = 0; other < DAEMONS; other++) {
+            if (other != daemon) {
+                load(other, engine)
+                        .report(
+                                "daemon-" + daemon,
+                                own.ownRequests(),
+                                own.ownPrefillTokens(),
+                                time.instant());
+            }
+        }
+    }
+
+    private void place(int number) {
+        int daemon = number % DAEMONS;
+        NamedPrompt prompt =
+                new NamedPrompt(
+                        "m",
+                        PROMPT_TOKENS,
+                        20,
+                        List.of(new PromptPart("question-" + number, PROMPT_TOKENS)));
+        EnginePlacement.Demand demand =
+                new EnginePlacement.Demand(prompt, null, version -> Optional.empty());
+        EnginePlacement.Choice choice =
+                placements.get(daemon).choose(engines, demand, Set.of()).orElseThrow();
+        TargetLoad load = load(daemon, choice.target());
+        load.begin(choice.prefillTokens());
+        if (load.hasGrown()) {
+            time.schedule(REPORT_TIME, () -> report(daemon, choice.target()));
+        }
+    }
+
+    private long waiting(RegisteredTarget engine) {
+        long tokens = 0;
+        for (int daemon = 0; daemon < DAEMONS; daemon++) {
+            tokens += load(daemon, engine).ownPrefillTokens();
+        }
+        return tokens;
+    }
+
+    /** Guards against a queue at the free engine that is longer than those that requests avoid. */
+    @Test
+    void engineThatBecomesFreeIsFilledNoFurtherThanTheOthers() {
+        start(4);
+        for (int number = 0; number < 20; number++) {
+            place(number);
+            time.advance(BETWEEN);
+        }
+        assertThat(waiting(engines.get(0)))
+                .isLessThanOrEqualTo(BUSY_TOKENS + DAEMONS * PROMPT_TOKENS / 2);
+    }
+}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.fleet.ServicePlacement;
 import org.bergamothoist.core.fleet.TargetIncarnation;
+import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.lease.OrderLease;
@@ -120,7 +121,7 @@
     private final FeedFollower operatorFeed;
     private final FeedFollower targetsFeed;
     private final FeedFollower daemonsFeed;
-    private final ActiveAttempts activeAttempts = new ActiveAttempts();
+    private final ActiveAttempts activeAttempts = new ActiveAttempts(this::onDispatched);
     private final CallerServer callers;
     private final SideServer readiness;
     private final SideServer directory;
@@ -351,6 +352,10 @@
         }
     }
 
+    private void onDispatched(TargetState state) {
+        reports.onDispatched(state);
+    }
+
     private boolean isStoreReachable() {
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ActiveAttempts.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ActiveAttempts.java
@@ -5,17 +5,28 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.bergamothoist.core.fleet.TargetState;
 
 /** The attempts in progress at each target. Confined to the event loop. */
 public final class ActiveAttempts {
 
     private final Map<String, Set<Attempt>> byTarget = new HashMap<>();
 
-    /** Creates an empty register. */
-    public ActiveAttempts() {}
+    private final Consumer<TargetState> onAdded;
+
+    /**
+     * Creates an empty register.
+     *
+     * @param onAdded learns of each target that a request is sent to
+     */
+    public ActiveAttempts(Consumer<TargetState> onAdded) {
+        this.onAdded = onAdded;
+    }
 
     void add(Attempt attempt) {
         byTarget.computeIfAbsent(attempt.targetId(), target -> new LinkedHashSet<>()).add(attempt);
+        onAdded.accept(attempt.state());
     }
 
     void remove(Attempt attempt) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -42,7 +42,7 @@
         return dispatch.target().id();
     }
 
-    private TargetState state() {
+    TargetState state() {
         return dispatch.state();
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
@@ -46,6 +46,9 @@
     /** Least pause between reports that changes cause. */
     private static final Duration LEAST_PAUSE = Duration.ofMillis(60);
 
+    /** Time in which reports of grown loads are gathered: a small part of the reading of one. */
+    private static final Duration GROWTH_DELAY = Duration.ofMillis(5);
+
     /** Most receivers of a round, so that cost does not grow with the fleet. */
     private static final int MOST_RECEIVERS = 8;
 
@@ -59,6 +62,7 @@
     private Channel channel;
     private Instant sentAt = Instant.EPOCH;
     private int position;
+    private boolean growthScheduled;
     private Set<String> aliveBefore = Set.of();
 
     /**
@@ -110,13 +114,52 @@
         }
     }
 
+    /**
+     * Notes that a request was sent to a target. In a small fleet others hear of it at once if much
+     * was sent, so that not all choose the same target until the next round.
+     */
+    public void onDispatched(TargetState state) {
+        boolean small = beliefs.daemons().receivers().size() <= MOST_RECEIVERS;
+        if (small && !growthScheduled && state.load().hasGrown()) {
+            growthScheduled = true;
+            scheduler.schedule(GROWTH_DELAY, this::reportGrowth);
+        }
+    }
+
+    private void reportGrowth() {
+        growthScheduled = false;
+        DaemonReport report = ownReport.get();
+        List<DaemonReport.TargetReport> grown =
+                report.targets().stream().filter(this::isGrown).toList();
+        if (!grown.isEmpty()) {
+            send(report.withTargets(grown));
+        }
+    }
+
+    private boolean isGrown(DaemonReport.TargetReport target) {
+        return beliefs.targetStates()
+                .find(target.target())
+                .filter(state -> state.load().hasGrown())
+                .isPresent();
+    }
+
     private void sendToNext() {
         sentAt = clock.instant();
+        send(ownReport.get());
+    }
+
+    private void send(DaemonReport own) {
         List<String> receivers = beliefs.daemons().receivers();
         if (receivers.isEmpty() || !channel.isActive()) {
             return;
         }
-        byte[] report = ReportMapper.encode(ownReport.get());
+        own.targets()
+                .forEach(
+                        target ->
+                                beliefs.targetStates()
+                                        .find(target.target())
+                                        .ifPresent(state -> state.load().reported()));
+        byte[] report = ReportMapper.encode(own);
         int count = Math.min(MOST_RECEIVERS, receivers.size());
         for (int index = 0; index < count; index++) {
             String receiver = receivers.get((position + index) % receivers.size());
