Let streams end before they are moved off an engine that is about to load

Change: an engine takes no new requests for 0.55 s before its order (0.35 s before), and streams that still run after 0.5 s are moved.

New test: WeightRolloutTest, streams leave shortly before the order.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -49,6 +49,7 @@
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.control.ReportLink;
 import org.bergamothoist.gateway.control.SideServer;
+import org.bergamothoist.gateway.control.StreamDeparture;
 import org.bergamothoist.gateway.control.StructuredDecisionLog;
 import org.bergamothoist.gateway.control.WeightRollout;
 import org.bergamothoist.gateway.state.BeliefUpdater;
@@ -127,6 +128,7 @@
     private final SideServer directory;
     private final SideServer peers;
     private final SideServer metricsServer;
+    private final StreamDeparture departure;
     private final ReportLink reports;
     private final RecordRelay relay;
     private final OrderLease lease;
@@ -164,11 +166,12 @@
                         eventLoop, exchangeServices(platform, targets), beliefs.configuration());
         this.readiness = new SideServer(eventLoop, platform.readinessHandlers(this), log);
         this.directory = new SideServer(eventLoop, platform.directoryHandlers(this), log);
+        this.departure = new StreamDeparture(activeAttempts::moveStreams, scheduler);
         this.reports =
                 new ReportLink(
                         beliefs,
                         this::report,
-                        activeAttempts::moveStreams,
+                        departure::onPausing,
                         eventLoop,
                         scheduler,
                         clock,
@@ -348,7 +351,7 @@
                         .filter(state -> state.isChangingWeights(clock.instant()))
                         .isPresent();
         if (changing) {
-            activeAttempts.moveStreams(engine.id());
+            departure.onPausing(engine.id());
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -33,8 +33,9 @@
     /** Interval between looks at what there is to order: a small part of a load's time. */
     private static final Duration INTERVAL = Duration.ofMillis(100);
 
-    /** Time without new requests before an order: most short runs end in it. */
-    private static final Duration PREPARATION = Duration.ofMillis(350);
+    /** Time without new requests before an order: until streams have ended or left. */
+    private static final Duration PREPARATION =
+            StreamDeparture.TIME_TO_END.plus(Duration.ofMillis(50));
 
     /**
      * Time after an order when the next engine is prepared: a load of 1.9 s, stated by the users,
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -34,6 +34,10 @@
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final Beliefs beliefs = Beliefs.empty(new DaemonId("daemon-1", 1), time);
     private final Map<String, LoadingEngine> engines = new HashMap<>();
+    private final Map<String, Instant> departures = new HashMap<>();
+    private final StreamDeparture departure =
+            new StreamDeparture(id -> departures.putIfAbsent(id, time.instant()), time);
+    private Duration longestUnused = Duration.ZERO;
     private int mostLoading;
     private int leastServing = Integer.MAX_VALUE;
 
@@ -54,6 +58,10 @@
         }
     }
 
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
     private final class Orders implements EngineOrders {
 
         private final Duration finishing;
@@ -70,6 +78,8 @@
                 return CompletableFuture.completedFuture(Answer.CONFLICT);
             }
             engine.orders++;
+            Instant left = departures.getOrDefault(order.engine().id(), Instant.MAX);
+            longestUnused = max(longestUnused, Duration.between(left, time.instant()));
             engine.endsAt = time.instant().plus(STATED_LOAD_TIME).plus(finishing);
             return CompletableFuture.completedFuture(Answer.ACCEPTED);
         }
@@ -128,7 +138,7 @@
                         beliefs,
                         new Orders(finishing),
                         lease,
-                        engine -> {},
+                        engine -> departure.onPausing(engine.id()),
                         time,
                         time,
                         (kind, subject, inputs, outcome) -> {})
@@ -163,6 +173,18 @@
         assertThat(leastServing).isGreaterThanOrEqualTo(8 - 2 * RolloutPlanner.MOST_LOADING);
     }
 
+    /** Guards against streams that are moved although they would have ended, or moved too late. */
+    @Test
+    void streamsLeaveAnEngineShortlyBeforeItsOrder() {
+        start(2, Duration.ZERO);
+        Instant preparedAt = time.instant();
+        run(Duration.ofSeconds(2));
+        assertThat(departures.values())
+                .allMatch(left -> !left.isBefore(preparedAt.plus(StreamDeparture.TIME_TO_END)));
+        assertThat(engines.values()).allMatch(engine -> engine.orders == 1);
+        assertThat(longestUnused).isBetween(Duration.ZERO, Duration.ofMillis(200));
+    }
+
     /** Guards against rollouts that leave requests on outdated weights for too long. */
     @Test
     void eightEnginesHaveTheNewWeightsWithinTwelveSeconds() {
