--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/ConfigurationController.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/ConfigurationController.java
@@ -1,20 +1,14 @@
 package org.bergamothoist.core.route;
 
-import java.time.Instant;
-import java.time.InstantSource;
 import java.util.Optional;
 
 /** Holds the newest configuration. Confined to the control thread. */
 public final class ConfigurationController {
 
-    private final InstantSource clock;
     private RouteConfiguration current;
-    private Instant acceptedAt;
 
     /** Creates a controller that knows no configuration. */
-    public ConfigurationController(InstantSource clock) {
-        this.clock = clock;
-    }
+    public ConfigurationController() {}
 
     /** Takes a configuration over if it is newer than the one in force; returns whether it was. */
     public boolean offer(RouteConfiguration configuration) {
@@ -22,7 +16,6 @@
             return false;
         }
         current = configuration;
-        acceptedAt = clock.instant();
         return true;
     }
 
@@ -35,9 +28,4 @@
     public long version() {
         return current == null ? 0 : current.version();
     }
-
-    /** Returns when the configuration in force was accepted, or empty before the first. */
-    public Optional<Instant> acceptedAt() {
-        return Optional.ofNullable(acceptedAt);
-    }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/Route.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/Route.java
@@ -12,7 +12,6 @@
  * @param priority 0 is the most urgent
  * @param attempts most targets that may run one request
  * @param open whether callers need no key
- * @param prefixAffinity whether requests name the parts of their prompt
  */
 public record Route(
         String name,
@@ -24,8 +23,7 @@
         int priority,
         List<WeightedService> services,
         int attempts,
-        boolean open,
-        boolean prefixAffinity) {
+        boolean open) {
 
     public Route {
         services = List.copyOf(services);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AdmissionPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AdmissionPolicyTest.java
@@ -24,8 +24,7 @@
                     1,
                     List.of(new WeightedService("s", 1)),
                     1,
-                    false,
-                    true);
+                    false);
 
     @ParameterizedTest
     @CsvSource({"0,1,true", "360,1,true", "361,1,false", "361,0,true", "720,0,true", "721,0,false"})
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
@@ -29,7 +29,6 @@
                 0,
                 List.of(new WeightedService("s", 1)),
                 attempts,
-                false,
                 false);
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalInt;
-import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,7 +22,6 @@
                 0,
                 List.of(new WeightedService("one", 90), new WeightedService("two", 10)),
                 1,
-                false,
                 false);
     }
 
@@ -62,8 +60,7 @@
 
     @Test
     void versionsOnlyRise() {
-        ConfigurationController controller =
-                new ConfigurationController(new VirtualTimeScheduler());
+        ConfigurationController controller = new ConfigurationController();
         assertThat(controller.offer(configuration(5))).isTrue();
         assertThat(controller.offer(configuration(4))).isFalse();
         assertThat(controller.offer(configuration(5))).isFalse();
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/http/EndToEndHeaders.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/http/EndToEndHeaders.java
@@ -1,30 +1,17 @@
 package org.bergamothoist.daemon.http;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.bergamothoist.core.request.ConnectionHeaders;
 
-/** Removes the headers that concern one connection only (RFC 9110, section 7.6.1). */
+/** Removes the headers that concern one connection only, and the host. */
 public final class EndToEndHeaders {
 
     private static final String CONNECTION = "Connection";
-    private static final Set<String> HOP_BY_HOP =
-            Set.of(
-                    "connection",
-                    "expect",
-                    "host",
-                    "keep-alive",
-                    "proxy-authenticate",
-                    "proxy-authorization",
-                    "proxy-connection",
-                    "te",
-                    "trailer",
-                    "transfer-encoding",
-                    "upgrade");
+    private static final String HOST = "Host";
 
     private EndToEndHeaders() {}
 
@@ -34,25 +21,17 @@
         headers.forEach(
                 (name, values) -> {
                     if (CONNECTION.equalsIgnoreCase(name)) {
-                        values.forEach(value -> removed.addAll(tokens(value)));
+                        removed.addAll(ConnectionHeaders.listedBy(values));
                     }
                 });
         Map<String, List<String>> kept = new LinkedHashMap<>();
         headers.forEach(
                 (name, values) -> {
-                    boolean hop = HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT));
+                    boolean hop = ConnectionHeaders.contains(name) || HOST.equalsIgnoreCase(name);
                     if (!hop && !removed.contains(name)) {
                         kept.put(name, List.copyOf(values));
                     }
                 });
         return kept;
     }
-
-    private static List<String> tokens(String value) {
-        List<String> tokens = new ArrayList<>();
-        for (String token : value.split(",")) {
-            tokens.add(token.strip());
-        }
-        return tokens;
-    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/Beliefs.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/Beliefs.java
@@ -31,7 +31,7 @@
     public static Beliefs empty(DaemonId self, InstantSource clock) {
         HeldParts heldParts = new HeldParts();
         return new Beliefs(
-                new ConfigurationController(clock),
+                new ConfigurationController(),
                 new TargetRegistry(clock),
                 new TargetStates(),
                 new NamedWeights(clock),
