Name the result of a stream that a daemon moves by what happened

Cause: LEFT could be read as what remains; found on reading the change again. Change: MOVED_AWAY, and retries instead of repeats in the comments. Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptPolicy.java
@@ -15,13 +15,13 @@
     private static final int MOST_UNRUN_ATTEMPTS = 4;
 
     /**
-     * Repeats kept for answers that have begun, which break off without one: a refusal at each of
+     * Retries kept for answers that have begun, which break off without one: a refusal at each of
      * two streams.
      */
     private static final int KEPT_FOR_BEGUN_ANSWERS = 2;
 
-    /** Repeats kept when a healthy stream is left: it may be refused where it goes on. */
-    private static final int KEPT_WHEN_LEAVING = KEPT_FOR_BEGUN_ANSWERS + 2;
+    /** Retries kept when a healthy stream is moved: it may be refused where it goes on. */
+    private static final int KEPT_WHEN_MOVING = KEPT_FOR_BEGUN_ANSWERS + 2;
 
     private final RetryBudgets budgets;
 
@@ -99,8 +99,8 @@
     }
 
     private static int kept(Pending request, AttemptResult result) {
-        if (result == AttemptResult.LEFT) {
-            return KEPT_WHEN_LEAVING;
+        if (result == AttemptResult.MOVED_AWAY) {
+            return KEPT_WHEN_MOVING;
         }
         return request.answerBegun() ? 0 : KEPT_FOR_BEGUN_ANSWERS;
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptResult.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AttemptResult.java
@@ -14,8 +14,8 @@
     SERVER_ERROR,
     /** An event stream broke after its start. */
     BROKEN_STREAM,
-    /** A healthy event stream was left by this daemon, because its target is about to pause. */
-    LEFT;
+    /** A healthy event stream is moved by this daemon, because its target is about to pause. */
+    MOVED_AWAY;
 
     /** Returns whether the target may have run the request. */
     public boolean mayHaveRun() {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AttemptPolicyTest.java
@@ -61,9 +61,9 @@
         "IDEMPOTENT,2,NO_ANSWER,true",
         "IDEMPOTENT,2,SERVER_ERROR,true",
         "RESUMABLE_STREAM,2,BROKEN_STREAM,true",
-        "RESUMABLE_STREAM,2,LEFT,true",
-        "RESUMABLE_STREAM,1,LEFT,false",
-        "STREAM,2,LEFT,false",
+        "RESUMABLE_STREAM,2,MOVED_AWAY,true",
+        "RESUMABLE_STREAM,1,MOVED_AWAY,false",
+        "STREAM,2,MOVED_AWAY,false",
     })
     void onlyWhatCannotRunTwiceOrMayBeRepeatedIsRetried(
             RequestKind kind, int attempts, AttemptResult result, boolean expected) {
@@ -112,7 +112,7 @@
     @Test
     void healthyStreamsAreLeftOnlyWhileRefusalsElsewhereCanBeFollowed() {
         AttemptPolicy policy = new AttemptPolicy(new RetryBudgets(0, 8));
-        assertThat(countRepeats(policy, begunStream(), AttemptResult.LEFT)).isEqualTo(4);
+        assertThat(countRepeats(policy, begunStream(), AttemptResult.MOVED_AWAY)).isEqualTo(4);
         assertThat(countRepeats(policy, begunStream(), AttemptResult.REFUSED)).isEqualTo(4);
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -245,9 +245,9 @@
                 !ended
                         && attempt == leaving
                         && request.route().kind() == RequestKind.RESUMABLE_STREAM;
-        if (movable && isRetried(AttemptResult.LEFT)) {
+        if (movable && isRetried(AttemptResult.MOVED_AWAY)) {
             leaving.abandon();
-            resend(leaving, AttemptResult.LEFT);
+            resend(leaving, AttemptResult.MOVED_AWAY);
         }
     }
 
