Look at each engine once for a request; one copy of framing and of the choice of candidates

Cause: found on reading the change again. A placement looked up what each engine holds twice and built its scope twice for each request; the choice between accepting and all targets stood in two placements; a report of a grown load made the whole report, of all targets, to filter it; the check for receivers, which sorts them, ran for each dispatch before the cheap ones; three classes decided by themselves whether an answer's end is stated; claimRetry repeated what the policy decides; the registry kept a listing's flag and method, and the states a copy, that nothing calls.

Change: EnginePlacement views each candidate once; TargetStates.acceptingElseAll and wire.Framing serve all; ReportLink makes the reports of the targets that it sends; the dead code is gone.

Conclusion: no change of behaviour.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/ServicePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/ServicePlacement.java
@@ -48,12 +48,7 @@
         Instant now = clock.instant();
         List<RegisteredTarget> untried =
                 targets.stream().filter(target -> !tried.contains(target.id())).toList();
-        List<RegisteredTarget> accepting =
-                untried.stream()
-                        .filter(target -> states.of(target.incarnation()).isAccepting(now))
-                        .toList();
-        List<RegisteredTarget> candidates = accepting.isEmpty() ? untried : accepting;
-        return candidates.stream()
+        return states.acceptingElseAll(untried, now).stream()
                 .map(target -> new Scored(target, cost(target, now)))
                 .min(Comparator.comparingDouble(Scored::cost))
                 .map(Scored::target);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Knows the registered targets. Confined to the control thread.
@@ -27,7 +25,6 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private boolean sourceAway;
     private Instant sourceBackAt = Instant.EPOCH;
-    private boolean complete;
 
     /** Creates an empty registry. */
     public TargetRegistry(InstantSource clock) {
@@ -105,18 +102,6 @@
         return sourceAway || clock.instant().isBefore(sourceBackAt.plus(RENEWAL_GRACE));
     }
 
-    /** Ends all registrations that a complete listing does not have; returns those that ended. */
-    public List<String> retain(Set<String> listed) {
-        complete = true;
-        List<String> ended = new ArrayList<>();
-        for (String id : List.copyOf(entries.keySet())) {
-            if (!listed.contains(id) && remove(id) != Change.NONE) {
-                ended.add(id);
-            }
-        }
-        return ended;
-    }
-
     /** Notes that registrations cannot be read. */
     public void sourceLost() {
         sourceAway = true;
@@ -144,11 +129,6 @@
         return dropped;
     }
 
-    /** Returns whether a complete listing was seen since the start. */
-    public boolean isComplete() {
-        return complete;
-    }
-
     /** Returns the targets of a service that take new work. */
     public List<RegisteredTarget> accepting(String service) {
         return entries.values().stream()
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetStates.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetStates.java
@@ -1,6 +1,8 @@
 package org.bergamothoist.core.fleet;
 
+import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -30,8 +32,12 @@
         states.remove(id);
     }
 
-    /** Returns the states by identifier. */
-    public Map<String, TargetState> all() {
-        return Map.copyOf(states);
+    /** Returns the targets that take requests now; if none does, all, since one may recover. */
+    public List<RegisteredTarget> acceptingElseAll(List<RegisteredTarget> targets, Instant now) {
+        List<RegisteredTarget> accepting =
+                targets.stream()
+                        .filter(target -> of(target.incarnation()).isAccepting(now))
+                        .toList();
+        return accepting.isEmpty() ? targets : accepting;
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
@@ -30,21 +30,6 @@
         targets = List.copyOf(targets);
     }
 
-    /** Returns the report with other targets. */
-    public DaemonReport withTargets(List<TargetReport> others) {
-        return new DaemonReport(
-                daemon,
-                sequence,
-                callerAddress,
-                peerAddress,
-                dataCentre,
-                ready,
-                storeReachable,
-                orderHolder,
-                configurationVersion,
-                others);
-    }
-
     /**
      * A daemon's view of one target.
      *
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -103,19 +103,37 @@
                         .filter(engine -> serves(engine, demand.prompt().model()))
                         .filter(engine -> !isTooOld(engine, demand, now))
                         .toList();
-        List<RegisteredTarget> accepting =
-                untried.stream()
-                        .filter(engine -> states.of(engine.incarnation()).isAccepting(now))
-                        .toList();
-        List<RegisteredTarget> candidates = accepting.isEmpty() ? untried : accepting;
+        List<RegisteredTarget> candidates = states.acceptingElseAll(untried, now);
         Optional<String> home =
                 demand.prompt().subject().flatMap(part -> home(candidates, part.id()));
-        Map<CacheScope, Integer> elsewhere = heldElsewhere(candidates, demand);
-        return candidates.stream()
-                .map(engine -> rate(engine, demand, home, elsewhere, now))
+        List<Candidate> viewed = candidates.stream().map(engine -> view(engine, demand)).toList();
+        Map<CacheScope, Integer> elsewhere = heldElsewhere(viewed, demand.prompt());
+        return viewed.stream()
+                .map(candidate -> rate(candidate, demand, home, elsewhere, now))
                 .min(Comparator.comparingDouble(Choice::predicted));
     }
 
+    /**
+     * What is known of an engine before it is rated.
+     *
+     * @param scope of the prompt's parts at the engine's weights
+     * @param reported shared tokens that the engine reported to hold
+     */
+    private record Candidate(
+            RegisteredTarget engine, TargetState state, CacheScope scope, int reported) {}
+
+    private Candidate view(RegisteredTarget engine, Demand demand) {
+        TargetState state = states.of(engine.incarnation());
+        NamedPrompt prompt = demand.prompt();
+        CacheScope scope =
+                CacheScope.of(
+                        demand.organisation(), prompt.model(), state.weightVersion().orElse(0));
+        int reported =
+                heldParts.leadingTokens(
+                        engine.incarnation().toString(), scope, prompt.sharedParts());
+        return new Candidate(engine, state, scope, reported);
+    }
+
     private static boolean serves(RegisteredTarget engine, String model) {
         return engine.weightVersions().isEmpty() || engine.weightVersions().containsKey(model);
     }
@@ -135,17 +153,17 @@
     }
 
     private Choice rate(
-            RegisteredTarget engine,
+            Candidate candidate,
             Demand demand,
             Optional<String> home,
             Map<CacheScope, Integer> elsewhere,
             Instant now) {
-        TargetState state = states.of(engine.incarnation());
+        RegisteredTarget engine = candidate.engine();
+        TargetState state = candidate.state();
         NamedPrompt prompt = demand.prompt();
         boolean isHome = home.filter(engine.id()::equals).isPresent();
-        CacheScope scope = scope(state, demand);
-        int cached = cachedTokens(engine, scope, prompt);
-        int fetched = Math.max(0, elsewhere.getOrDefault(scope, 0) - cached);
+        int cached = Math.max(candidate.reported(), expectedTokens(candidate, prompt));
+        int fetched = Math.max(0, elsewhere.getOrDefault(candidate.scope(), 0) - cached);
         int unread = Math.max(0, prompt.sharedTokens() - cached - fetched);
         int read = Math.max(0, prompt.promptTokens() - cached - fetched);
         double wait = state.load().totalPrefillTokens(now) / costs.prefillTokensPerMillisecond();
@@ -163,28 +181,18 @@
         return new Choice(engine, read, predicted, Duration.ofMillis(Math.round(wait)));
     }
 
-    private static CacheScope scope(TargetState state, Demand demand) {
-        return CacheScope.of(
-                demand.organisation(), demand.prompt().model(), state.weightVersion().orElse(0));
-    }
-
-    private int cachedTokens(RegisteredTarget engine, CacheScope scope, NamedPrompt prompt) {
-        String holder = engine.incarnation().toString();
-        return Math.max(
-                heldParts.leadingTokens(holder, scope, prompt.sharedParts()),
-                expectedParts.leadingTokens(holder, scope, prompt.sharedParts()));
+    private int expectedTokens(Candidate candidate, NamedPrompt prompt) {
+        return expectedParts.leadingTokens(
+                candidate.engine().incarnation().toString(),
+                candidate.scope(),
+                prompt.sharedParts());
     }
 
     /** Returns the most shared tokens that an engine or the store reported, by scope. */
-    private Map<CacheScope, Integer> heldElsewhere(List<RegisteredTarget> engines, Demand demand) {
-        NamedPrompt prompt = demand.prompt();
+    private Map<CacheScope, Integer> heldElsewhere(List<Candidate> candidates, NamedPrompt prompt) {
         Map<CacheScope, Integer> held = new HashMap<>();
-        for (RegisteredTarget engine : engines) {
-            CacheScope scope = scope(states.of(engine.incarnation()), demand);
-            String holder = engine.incarnation().toString();
-            held.merge(
-                    scope, heldParts.leadingTokens(holder, scope, prompt.sharedParts()), Math::max);
-        }
+        candidates.forEach(
+                candidate -> held.merge(candidate.scope(), candidate.reported(), Math::max));
         held.replaceAll(
                 (scope, tokens) ->
                         cacheStore.holds(scope, prompt) ? prompt.sharedTokens() : tokens);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -363,8 +363,7 @@
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
 
-    private DaemonReport report() {
-        Instant now = clock.instant();
+    private DaemonReport report(List<DaemonReport.TargetReport> targets) {
         return new DaemonReport(
                 self,
                 ++reportSequence,
@@ -375,7 +374,7 @@
                 isStoreReachable(),
                 lease.isHolder(),
                 beliefs.configuration().version(),
-                ReportLink.targetReports(beliefs, now));
+                targets);
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerRelay.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.bergamothoist.gateway.wire.EndToEnd;
+import org.bergamothoist.gateway.wire.Framing;
 import org.bergamothoist.gateway.wire.WireDialect;
 
 /** Passes a target's answer on to the caller; for resumable streams by whole events. */
@@ -42,16 +43,12 @@
             headers.set(
                     HttpHeaderNames.CONTENT_LENGTH,
                     head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
-        } else if (caller.acceptsChunks() && mayHaveBody()) {
+        } else if (caller.acceptsChunks() && !Framing.isBodyless(head.status())) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
         caller.sendHead(answer);
     }
 
-    private boolean mayHaveBody() {
-        return status != 204 && status != 304;
-    }
-
     boolean isStarted() {
         return status != 0;
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnection.java
@@ -27,6 +27,7 @@
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.route.CallerLimits;
+import org.bergamothoist.gateway.wire.Framing;
 import org.bergamothoist.gateway.wire.MalformedRequestException;
 import org.bergamothoist.gateway.wire.RequestHead;
 
@@ -205,16 +206,12 @@
         if (wanted) {
             ByteBuf complete = body;
             body = null;
-            exchange.dispatch(complete, hasBody());
+            exchange.dispatch(complete, Framing.isStated(request));
         } else if (exchange.isEnded() && !answering) {
             next();
         }
     }
 
-    private boolean hasBody() {
-        return HttpUtil.isContentLengthSet(request) || HttpUtil.isTransferEncodingChunked(request);
-    }
-
     private boolean takeBody(ByteBuf piece) {
         if (body.readableBytes() + piece.readableBytes() > server.limits().bodyBytes()) {
             exchange.onCallerGone();
@@ -231,9 +228,7 @@
         if (server.isClosing()) {
             closeAfterAnswer = true;
         }
-        boolean framed =
-                HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        if (!framed && head.status().code() != 204 && head.status().code() != 304) {
+        if (!Framing.endsBeforeConnection(head)) {
             closeAfterAnswer = true;
         }
         if (closeAfterAnswer) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -311,10 +311,7 @@
      * answer.
      */
     boolean claimRetry() {
-        retryClaimed =
-                !relay.isStarted()
-                        && request.route().kind().isRepeatable()
-                        && isRetried(AttemptResult.SERVER_ERROR);
+        retryClaimed = !relay.isStarted() && isRetried(AttemptResult.SERVER_ERROR);
         return retryClaimed;
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -18,6 +18,7 @@
 import java.time.InstantSource;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.bergamothoist.gateway.wire.Framing;
 
 /**
  * A connection that carries one request at a time.
@@ -127,7 +128,7 @@
         if (interim) {
             return;
         }
-        if (!HttpUtil.isKeepAlive(head) || !hasLength(head)) {
+        if (!HttpUtil.isKeepAlive(head) || !Framing.endsBeforeConnection(head)) {
             reusable = false;
         }
         noteIdleTimeout(head);
@@ -137,14 +138,6 @@
         }
     }
 
-    private static boolean hasLength(HttpResponse head) {
-        int code = head.status().code();
-        return HttpUtil.isContentLengthSet(head)
-                || HttpUtil.isTransferEncodingChunked(head)
-                || code == 204
-                || code == 304;
-    }
-
     private void noteIdleTimeout(HttpResponse head) {
         String value = head.headers().get("Keep-Alive", "");
         Matcher matcher = TIMEOUT.matcher(value);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportLink.java
@@ -18,7 +18,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.fleet.RegisteredTarget;
@@ -53,7 +54,7 @@
     private static final int MOST_RECEIVERS = 8;
 
     private final Beliefs beliefs;
-    private final Supplier<DaemonReport> ownReport;
+    private final Function<List<DaemonReport.TargetReport>, DaemonReport> ownReport;
     private final Consumer<String> onChanging;
     private final EventLoop eventLoop;
     private final Scheduler scheduler;
@@ -68,12 +69,12 @@
     /**
      * Creates a link that is not open yet.
      *
-     * @param ownReport makes this daemon's report
+     * @param ownReport makes this daemon's report about targets
      * @param onChanging moves work off a target that is about to load weights
      */
     public ReportLink(
             Beliefs beliefs,
-            Supplier<DaemonReport> ownReport,
+            Function<List<DaemonReport.TargetReport>, DaemonReport> ownReport,
             Consumer<String> onChanging,
             EventLoop eventLoop,
             Scheduler scheduler,
@@ -119,8 +120,8 @@
      * was sent, so that not all choose the same target until the next round.
      */
     public void onDispatched(TargetState state) {
-        boolean small = beliefs.daemons().receivers().size() <= MOST_RECEIVERS;
-        if (small && !growthScheduled && state.load().hasGrown()) {
+        boolean due = !growthScheduled && state.load().hasGrown();
+        if (due && beliefs.daemons().receivers().size() <= MOST_RECEIVERS) {
             growthScheduled = true;
             scheduler.schedule(GROWTH_DELAY, this::reportGrowth);
         }
@@ -128,38 +129,28 @@
 
     private void reportGrowth() {
         growthScheduled = false;
-        DaemonReport report = ownReport.get();
-        List<DaemonReport.TargetReport> grown =
-                report.targets().stream().filter(this::isGrown).toList();
+        List<DaemonReport.TargetReport> grown = targetReports(state -> state.load().hasGrown());
         if (!grown.isEmpty()) {
-            send(report.withTargets(grown));
+            send(grown);
         }
     }
 
-    private boolean isGrown(DaemonReport.TargetReport target) {
-        return beliefs.targetStates()
-                .find(target.target())
-                .filter(state -> state.load().hasGrown())
-                .isPresent();
-    }
-
     private void sendToNext() {
         sentAt = clock.instant();
-        send(ownReport.get());
+        send(targetReports(state -> true));
     }
 
-    private void send(DaemonReport own) {
+    private void send(List<DaemonReport.TargetReport> targets) {
         List<String> receivers = beliefs.daemons().receivers();
         if (receivers.isEmpty() || !channel.isActive()) {
             return;
         }
-        own.targets()
-                .forEach(
-                        target ->
-                                beliefs.targetStates()
-                                        .find(target.target())
-                                        .ifPresent(state -> state.load().reported()));
-        byte[] report = ReportMapper.encode(own);
+        targets.forEach(
+                target ->
+                        beliefs.targetStates()
+                                .find(target.target())
+                                .ifPresent(state -> state.load().reported()));
+        byte[] report = ReportMapper.encode(ownReport.apply(targets));
         int count = Math.min(MOST_RECEIVERS, receivers.size());
         for (int index = 0; index < count; index++) {
             String receiver = receivers.get((position + index) % receivers.size());
@@ -188,13 +179,13 @@
         aliveBefore = alive;
     }
 
-    /** Makes the part of a report that concerns targets. */
-    public static List<DaemonReport.TargetReport> targetReports(Beliefs beliefs, Instant now) {
+    private List<DaemonReport.TargetReport> targetReports(Predicate<TargetState> included) {
+        Instant now = clock.instant();
         List<DaemonReport.TargetReport> reports = new ArrayList<>();
         for (RegisteredTarget target : beliefs.targets().all()) {
             TargetState state = beliefs.targetStates().of(target.incarnation());
             boolean silent = state.load().ownRequests() == 0 && state.weightVersion().isEmpty();
-            if (!silent) {
+            if (!silent && included.test(state)) {
                 reports.add(
                         new DaemonReport.TargetReport(
                                 target.id(),
