--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.DoubleSupplier;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.core.time.Spread;
 
 /**
  * Follows one feed for good: lists it, reads on from there, and lists again when records have
@@ -132,8 +133,7 @@
             lostReported = true;
             observer.onLost(feed, failure);
         }
-        long half = RETRY_PAUSE.toMillis() / 2;
-        Duration pause = Duration.ofMillis(half + Math.round(half * random.getAsDouble()));
-        scheduler.schedule(pause, call);
+        Duration half = RETRY_PAUSE.dividedBy(2);
+        scheduler.schedule(Spread.of(half, half, random), call);
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AdmissionPolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/AdmissionPolicy.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import org.bergamothoist.core.route.Route;
+import org.bergamothoist.core.time.Spread;
 
 /**
  * Decides whether an engine's queue is short enough for a request. While callers send more than the
@@ -46,7 +47,6 @@
         if (wait.compareTo(longest) <= 0) {
             return Optional.empty();
         }
-        long spread = Math.round(RETURN_SPREAD.toMillis() * random.getAsDouble());
-        return Optional.of(wait.plusMillis(spread));
+        return Optional.of(Spread.of(wait, RETURN_SPREAD, random));
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -17,6 +17,7 @@
 import org.bergamothoist.core.relay.AttemptResult;
 import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.core.time.Spread;
 import org.bergamothoist.gateway.wire.EndToEnd;
 import org.bergamothoist.gateway.wire.Forwarding;
 
@@ -323,13 +324,8 @@
             return;
         }
         if (history.certainlyNotRun()) {
-            long spread = Math.round(RETURN_SPREAD.toMillis() * services.random().getAsDouble());
-            answer(
-                    new Refusal(
-                            UNAVAILABLE,
-                            code,
-                            reason,
-                            Optional.of(LEAST_RETURN.plusMillis(spread))));
+            Duration pause = Spread.of(LEAST_RETURN, RETURN_SPREAD, services.random());
+            answer(new Refusal(UNAVAILABLE, code, reason, Optional.of(pause)));
             return;
         }
         answer(Refusal.of(BAD_GATEWAY, code, reason));
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestFilters.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestFilters.java
@@ -10,6 +10,7 @@
 import org.bergamothoist.core.route.Organisation;
 import org.bergamothoist.core.route.Route;
 import org.bergamothoist.core.route.RouteConfiguration;
+import org.bergamothoist.core.time.Spread;
 
 /** The filters that every request passes, in order. */
 public final class RequestFilters {
@@ -63,8 +64,8 @@
     }
 
     private Refusal later(ErrorCode code, String reason) {
-        long spread = Math.round(RETURN_SPREAD.toMillis() * random.getAsDouble());
-        return new Refusal(UNAVAILABLE, code, reason, Optional.of(LEAST_RETURN.plusMillis(spread)));
+        Duration pause = Spread.of(LEAST_RETURN, RETURN_SPREAD, random);
+        return new Refusal(UNAVAILABLE, code, reason, Optional.of(pause));
     }
 
     private Optional<Refusal> route(RequestContext request) {
