--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -13,6 +13,7 @@
 import org.bergamothoist.core.fleet.TargetRegistry;
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.route.RouteConfiguration;
+import org.bergamothoist.gateway.GatewayException;
 import org.bergamothoist.gateway.client.ConnectionPool;
 
 /** Applies the store's records to a daemon's cluster view. Confined to the event loop. */
@@ -62,9 +63,7 @@
         }
         byte[] value = record.value().get();
         if (decoder.isConfigurationKey(record.key())) {
-            Optional<RouteConfiguration> configuration = decoder.configuration(value);
-            configuration.ifPresentOrElse(
-                    this::acceptConfiguration, () -> logUnreadable(Feed.OPERATOR, record));
+            onConfigurationRecord(record, value);
             return;
         }
         decoder.desiredWeights(record.key(), value)
@@ -73,6 +72,21 @@
                         () -> logUnreadable(Feed.OPERATOR, record));
     }
 
+    /** Applies a configuration; a malformed one is logged and the current one stays in force. */
+    private void onConfigurationRecord(FeedRecord record, byte[] value) {
+        try {
+            decoder.configuration(value)
+                    .ifPresentOrElse(
+                            this::acceptConfiguration, () -> logUnreadable(Feed.OPERATOR, record));
+        } catch (GatewayException exception) {
+            log.write(
+                    DecisionKind.RECORD_IGNORED,
+                    record.key(),
+                    () -> "offset=" + record.offset() + " " + exception.getMessage(),
+                    "malformed configuration ignored");
+        }
+    }
+
     private void acceptConfiguration(RouteConfiguration configuration) {
         long before = clusterView.configuration().version();
         if (clusterView.configuration().updateIfNewer(configuration)) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/RecordDecoder.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/RecordDecoder.java
@@ -20,7 +20,12 @@
     /** Returns whether a record of the operators' feed with this key holds the configuration. */
     boolean isConfigurationKey(String key);
 
-    /** Decodes the configuration of routes and services. */
+    /**
+     * Decodes the configuration of routes and services.
+     *
+     * @throws org.bergamothoist.gateway.GatewayException if a field is malformed; the message names
+     *     the field
+     */
     Optional<RouteConfiguration> configuration(byte[] value);
 
     /** Decodes the desired version of a model's weights. */
