Plan rollouts by learned load times and by the time limit

Cause: WeightRollout polled an engine first 2.0 s after an order and let two engines load at once. Thirteen engines whose loads take 0.29 s needed 17 s for a version, while a new one came every 2 to 4 s; 59 engines would need over a minute, where requests may start on old weights for 20 s. The next holder of the lease read its log only after the last one was lost, so that it waited for twice the lease. Change: LoadTimeEstimator learns load times, and the concurrency from which loads are slower, from reports; polls follow the estimate. LoadConcurrency lets a quarter of the engines load at once (a setting with a default), fewer while they are busy, and as many as the time limit requires. An engine without requests is ordered after 250 ms. The daemon that is next in line follows the lease log; window and margin are short enough that takeover takes at most the lease and a second after the last renewal.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -22,16 +22,16 @@
 public final class OrderLease {
 
     /** Time after a renewal in which orders may be sent; it covers a few calls to the store. */
-    static final Duration ORDER_WINDOW = Duration.ofMillis(1_000);
+    static final Duration ORDER_WINDOW = Duration.ofMillis(500);
 
     /** Age of a renewal at which the holder renews; half of the window leaves time for a retry. */
-    private static final Duration RENEWAL_AGE = Duration.ofMillis(500);
+    private static final Duration RENEWAL_AGE = ORDER_WINDOW.dividedBy(2);
 
     /** Allowance for the transmission time of an order and for clock drift. */
-    private static final Duration SAFETY_MARGIN = Duration.ofMillis(300);
+    private static final Duration SAFETY_MARGIN = Duration.ofMillis(250);
 
     /** Interval between reads of the log while another daemon holds the lease. */
-    private static final Duration READ_INTERVAL = Duration.ofMillis(700);
+    private static final Duration READ_INTERVAL = Duration.ofMillis(200);
 
     private static final String NAME = "order-lease";
 
@@ -120,6 +120,17 @@
         }
     }
 
+    /**
+     * Follows the log without acquiring the lease, so that this daemon can take over as soon as the
+     * lease expires; to be called often by the daemon that is next in line.
+     */
+    public void watch() {
+        Instant now = clock.instant();
+        if (!storeCallPending && !now.isBefore(lastReadAt.plus(READ_INTERVAL))) {
+            readTail(now);
+        }
+    }
+
     private boolean isHeldBySelf() {
         return fencingNumber > 0
                 && tail.newest()
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutPlanner.java
@@ -8,15 +8,6 @@
 /** Selects the engines that load new weights next. */
 public final class RolloutPlanner {
 
-    /**
-     * Maximum number of engines that load at once; the platform states that more slow each other
-     * down.
-     */
-    public static final int MAXIMUM_LOADS = 2;
-
-    /** The same while the other engines are too busy to meet latency objectives. */
-    public static final int MAXIMUM_LOADS_WHEN_BUSY = 1;
-
     private RolloutPlanner() {}
 
     /** Phase of an engine in loading new weights. */
@@ -83,15 +74,17 @@
      * Returns whether another engine may be ordered to load now. An engine counts as loading until
      * it reports the end, since running requests delay the load and any load beyond the maximum
      * slows the others down.
+     *
+     * @param maximumLoads maximum number of engines that load at once
      */
-    public static boolean canStartLoad(List<EngineRolloutState> engines) {
+    public static boolean canStartLoad(List<EngineRolloutState> engines, int maximumLoads) {
         return engines.stream()
                         .filter(
                                 engine ->
                                         engine.phase() == Phase.LOADING
                                                 || engine.phase() == Phase.NEARLY_LOADED)
                         .count()
-                < MAXIMUM_LOADS;
+                < maximumLoads;
     }
 
     /** Returns whether an engine's weights are older than the newest requested version. */
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
@@ -142,4 +142,35 @@
         first.onFenced();
         assertThat(first.usableFencingNumber()).isEmpty();
     }
+
+    /**
+     * Guards against a daemon that starts to follow the log only once the holder is lost, so that
+     * the engines get no orders for twice the time.
+     */
+    @Test
+    void watchingDaemonTakesOverWithinTheLeaseAndASecondOfTheLastRenewal() {
+        for (int step = 0; step < 50; step++) {
+            first.acquireOrRenew();
+            second.watch();
+            time.advanceMillis(100);
+        }
+        first.acquireOrRenew();
+        Instant lostAt = time.instant();
+        while (second.usableFencingNumber().isEmpty()) {
+            second.acquireOrRenew();
+            time.advanceMillis(50);
+        }
+        assertThat(Duration.between(lostAt, time.instant()))
+                .isLessThanOrEqualTo(LEASE.plusSeconds(1).plusMillis(50));
+    }
+
+    @Test
+    void watchingDoesNotAcquireTheLease() {
+        for (int step = 0; step < 100; step++) {
+            second.watch();
+            time.advanceMillis(100);
+        }
+        assertThat(second.isHolder()).isFalse();
+        assertThat(topic.records).isEmpty();
+    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/RolloutPlannerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/RolloutPlannerTest.java
@@ -67,7 +67,7 @@
     void doesNotExceedMaximumLoads(Phase one, Phase two, boolean expected) {
         List<EngineRolloutState> engines =
                 List.of(engine("a", 4, one, true, 0), engine("b", 4, two, true, 0));
-        assertThat(RolloutPlanner.canStartLoad(engines)).isEqualTo(expected);
+        assertThat(RolloutPlanner.canStartLoad(engines, 2)).isEqualTo(expected);
     }
 
     @Test
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -34,6 +34,7 @@
 import org.bergamothoist.core.prefix.EnginePlacement;
 import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.RetryPolicy;
+import org.bergamothoist.core.rollout.RolloutSettings;
 import org.bergamothoist.core.time.MonotonicClock;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.caller.ActiveAttempts;
@@ -46,6 +47,7 @@
 import org.bergamothoist.gateway.client.HttpCaller;
 import org.bergamothoist.gateway.control.AuxiliaryHttpServer;
 import org.bergamothoist.gateway.control.CacheEventPollers;
+import org.bergamothoist.gateway.control.EngineOrderClient;
 import org.bergamothoist.gateway.control.MetricsEndpoint;
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.control.ReportExchange;
@@ -206,16 +208,23 @@
         this.caches =
                 new CacheEventPollers(
                         clusterView, platform.cacheEvents(controlCaller), scheduler, log);
-        this.rollout =
-                new WeightRollout(
-                        self.name(),
-                        clusterView,
-                        platform.engineOrders(controlCaller),
-                        lease,
-                        this::onChanging,
-                        scheduler,
-                        clock,
-                        log);
+        this.rollout = createRollout(platform.engineOrders(controlCaller));
+    }
+
+    private WeightRollout createRollout(EngineOrderClient orderClient) {
+        return new WeightRollout(
+                self.name(),
+                clusterView,
+                orderClient,
+                lease,
+                new WeightRollout.Limits(
+                        RolloutSettings.DEFAULT,
+                        Duration.ofMillis(settings.longestOutdatedMilliseconds()),
+                        EngineCosts.STANDARD.prefillTokensPerMillisecond()),
+                this::onChanging,
+                scheduler,
+                clock,
+                log);
     }
 
     private ConnectionPool pool(String name, Duration connectTimeout) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.fleet.RegisteredTarget;
@@ -16,7 +17,10 @@
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.lease.OrderLease;
+import org.bergamothoist.core.rollout.LoadConcurrency;
+import org.bergamothoist.core.rollout.LoadTimeEstimator;
 import org.bergamothoist.core.rollout.RolloutPlanner;
+import org.bergamothoist.core.rollout.RolloutSettings;
 import org.bergamothoist.core.rollout.WeightOrder;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.state.ClusterView;
@@ -40,17 +44,13 @@
             StreamMigrator.DRAIN_TIME.plus(Duration.ofMillis(50));
 
     /**
-     * Time after an order at which the preparation of the next engine starts. A load takes 1.9 s as
-     * specified by the users, and 2.3 to 2.9 s including the end of running requests and the age of
-     * reports; the preparation time is subtracted from that.
+     * Time without new requests after which an engine without requests is ordered to load: until
+     * other daemons have learned that it gets none.
      */
-    private static final Duration NEARLY_LOADED_AFTER = Duration.ofMillis(2_100);
+    private static final Duration MINIMUM_PREPARATION_TIME = Duration.ofMillis(250);
 
-    /** Time from an order to the first poll of the engine's state: no load ends sooner. */
-    private static final Duration FIRST_POLL_DELAY = Duration.ofMillis(2_000);
-
-    /** Interval between polls of an engine that is loading. */
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(150);
+    /** Assumed load time until the first load has ended. */
+    private static final Duration LOAD_TIME_WITHOUT_ESTIMATE = Duration.ofSeconds(2);
 
     /** Delay before an engine is ordered again after a failure. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(700);
@@ -61,12 +61,6 @@
     /** Time for which an engine stays marked as changing weights, unless it is marked again. */
     private static final Duration CHANGING_WEIGHTS_TTL = Duration.ofMillis(700);
 
-    /**
-     * Average number of prompt tokens awaiting prefill per engine above which the engines count as
-     * busy: about 0.25 s of prefill.
-     */
-    private static final double BUSY_PREFILL_TOKENS = 18_000;
-
     private final String self;
     private final ClusterView clusterView;
     private final EngineOrderClient orderClient;
@@ -75,8 +69,22 @@
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final DecisionLog log;
+    private final Limits limits;
+    private final LoadTimeEstimator loadTimes = new LoadTimeEstimator();
+    private final LoadConcurrency concurrency;
     private final Map<TargetIncarnation, LoadProgress> progressByEngine = new HashMap<>();
 
+    /**
+     * What bounds a rollout.
+     *
+     * @param longestOutdated time after which no request may start on outdated weights
+     * @param prefillTokensPerMillisecond prompt tokens that an engine computes per millisecond
+     */
+    public record Limits(
+            RolloutSettings settings,
+            Duration longestOutdated,
+            double prefillTokensPerMillisecond) {}
+
     /**
      * Creates a rollout that is not started yet.
      *
@@ -89,6 +97,7 @@
             ClusterView clusterView,
             EngineOrderClient orderClient,
             OrderLease lease,
+            Limits limits,
             Consumer<TargetIncarnation> onWeightChange,
             Scheduler scheduler,
             InstantSource clock,
@@ -97,6 +106,8 @@
         this.clusterView = clusterView;
         this.orderClient = orderClient;
         this.lease = lease;
+        this.limits = limits;
+        this.concurrency = new LoadConcurrency(limits.settings(), loadTimes);
         this.onWeightChange = onWeightChange;
         this.scheduler = scheduler;
         this.clock = clock;
@@ -119,19 +130,28 @@
         boolean preparing =
                 engines.stream()
                         .anyMatch(engine -> engine.phase() == RolloutPlanner.Phase.PREPARING);
-        if (!outdated && !preparing || !shouldHoldLease()) {
+        if (!outdated && !preparing) {
+            return;
+        }
+        if (!shouldHoldLease()) {
+            if (isFirstInLine()) {
+                lease.watch();
+            }
             return;
         }
         lease.acquireOrRenew();
         if (lease.usableFencingNumber().isEmpty()) {
             return;
         }
-        RolloutPlanner.plan(engines, newest, maximumLoads(engines, now))
-                .forEach(order -> prepare(order, now));
-        orderPrepared(engines(newest, now), newest, now);
+        int maximumLoads = concurrency.maximumLoads(situation(engines, newest, now));
+        RolloutPlanner.plan(engines, newest, maximumLoads).forEach(order -> prepare(order, now));
+        orderPrepared(newest, maximumLoads, now);
     }
 
-    private int maximumLoads(List<RolloutPlanner.EngineRolloutState> engines, Instant now) {
+    private LoadConcurrency.Situation situation(
+            List<RolloutPlanner.EngineRolloutState> engines,
+            Map<String, Integer> newest,
+            Instant now) {
         double averagePrefillTokens =
                 engines.stream()
                         .mapToLong(
@@ -143,9 +163,28 @@
                                                 .totalPrefillTokens(now))
                         .average()
                         .orElse(0);
-        return averagePrefillTokens > BUSY_PREFILL_TOKENS
-                ? RolloutPlanner.MAXIMUM_LOADS_WHEN_BUSY
-                : RolloutPlanner.MAXIMUM_LOADS;
+        double queueingMilliseconds = averagePrefillTokens / limits.prefillTokensPerMillisecond();
+        List<RolloutPlanner.EngineRolloutState> outdated =
+                engines.stream()
+                        .filter(engine -> RolloutPlanner.isOutdated(engine, newest))
+                        .toList();
+        Instant outdatedSince =
+                outdated.stream()
+                        .flatMap(
+                                engine ->
+                                        clusterView
+                                                .desiredWeightVersions()
+                                                .outdatedSince(engine.model(), engine.version())
+                                                .stream())
+                        .min(Instant::compareTo)
+                        .orElse(now);
+        return new LoadConcurrency.Situation(
+                engines.size(),
+                outdated.size(),
+                MINIMUM_PREPARATION_TIME.plus(
+                        loadTimes.loadTime().orElse(LOAD_TIME_WITHOUT_ESTIMATE)),
+                Duration.between(now, outdatedSince.plus(limits.longestOutdated())),
+                queueingMilliseconds > limits.settings().busyQueueing().toMillis());
     }
 
     private boolean isRegistered(TargetIncarnation incarnation) {
@@ -162,16 +201,23 @@
      * over.
      */
     private boolean shouldHoldLease() {
-        List<DaemonReport> eligible =
-                clusterView.daemons().aliveReports().stream()
-                        .filter(report -> report.ready() && report.storeReachable())
-                        .toList();
-        boolean heldByOther = eligible.stream().anyMatch(DaemonReport::orderHolder);
         if (lease.isHolder()) {
             return true;
         }
-        return !heldByOther
-                && eligible.stream().allMatch(report -> self.compareTo(report.daemon().name()) < 0);
+        boolean heldByOther = eligibleOthers().anyMatch(DaemonReport::orderHolder);
+        return !heldByOther && isFirstInLine();
+    }
+
+    /** Returns whether this daemon takes over from the current holder of the lease. */
+    private boolean isFirstInLine() {
+        return eligibleOthers()
+                .filter(report -> !report.orderHolder())
+                .allMatch(report -> self.compareTo(report.daemon().name()) < 0);
+    }
+
+    private Stream<DaemonReport> eligibleOthers() {
+        return clusterView.daemons().aliveReports().stream()
+                .filter(report -> report.ready() && report.storeReachable());
     }
 
     private List<RolloutPlanner.EngineRolloutState> engines(
@@ -200,7 +246,9 @@
                 target,
                 model,
                 version,
-                current == null ? RolloutPlanner.Phase.NONE : current.phase(now),
+                current == null
+                        ? RolloutPlanner.Phase.NONE
+                        : current.phase(now, nearlyLoadedAfter()),
                 !awaitingRetry && state.health().isUsable(now),
                 state.load().totalRequests(now));
     }
@@ -219,11 +267,8 @@
     }
 
     /** Orders the prepared engines to load, as long as another load can start. */
-    private void orderPrepared(
-            List<RolloutPlanner.EngineRolloutState> engines,
-            Map<String, Integer> newest,
-            Instant now) {
-        for (RolloutPlanner.EngineRolloutState engine : engines) {
+    private void orderPrepared(Map<String, Integer> newest, int maximumLoads, Instant now) {
+        for (RolloutPlanner.EngineRolloutState engine : engines(newest, now)) {
             if (engine.phase() != RolloutPlanner.Phase.PREPARING) {
                 continue;
             }
@@ -231,18 +276,34 @@
                     new WeightOrder(engine.engine(), engine.model(), newest.get(engine.model()));
             markChangingWeights(order, now);
             LoadProgress current = progressByEngine.get(engine.engine().incarnation());
-            boolean drained = !now.isBefore(current.preparationStartedAt.plus(PREPARATION_TIME));
-            if (drained
+            if (isDrained(engine, current, now)
                     && current.acceptedOrdersKnown
-                    && RolloutPlanner.canStartLoad(engines(newest, now))) {
+                    && RolloutPlanner.canStartLoad(engines(newest, now), maximumLoads)) {
                 current.preparationStartedAt = null;
                 current.loading = true;
                 current.orderedAt = now;
+                current.concurrentLoads = 0;
+                updateConcurrentLoads(now);
                 sendOrder(order, current);
             }
         }
     }
 
+    private static boolean isDrained(
+            RolloutPlanner.EngineRolloutState engine, LoadProgress progress, Instant now) {
+        Duration preparation =
+                engine.outstandingRequests() == 0 ? MINIMUM_PREPARATION_TIME : PREPARATION_TIME;
+        return !now.isBefore(progress.preparationStartedAt.plus(preparation));
+    }
+
+    private void updateConcurrentLoads(Instant now) {
+        List<LoadProgress> loads =
+                progressByEngine.values().stream()
+                        .filter(progress -> progress.isLoading(now))
+                        .toList();
+        loads.forEach(load -> load.concurrentLoads = Math.max(load.concurrentLoads, loads.size()));
+    }
+
     private void markChangingWeights(WeightOrder order, Instant now) {
         clusterView
                 .targetStates()
@@ -286,13 +347,13 @@
     private void onOrderResult(
             WeightOrder order, LoadProgress current, EngineOrderClient.OrderResult result) {
         if (result == null) {
-            pollLater(order, current, POLL_INTERVAL);
+            pollLater(order, current, nextPollDelay(current));
             return;
         }
         switch (result) {
             case ACCEPTED -> {
                 current.acceptedOrders++;
-                pollLater(order, current, FIRST_POLL_DELAY);
+                pollLater(order, current, loadTimes.firstPollDelay());
             }
             case ALREADY_HOLDS, CONFLICT -> poll(order, current, true);
             case FENCED -> {
@@ -305,6 +366,10 @@
         }
     }
 
+    private Duration nextPollDelay(LoadProgress progress) {
+        return loadTimes.pollInterval(Duration.between(progress.orderedAt, clock.instant()));
+    }
+
     private void retryLater(LoadProgress current) {
         current.loading = false;
         current.preparationStartedAt = null;
@@ -363,7 +428,7 @@
         current.acceptedOrders = report.acceptedOrders();
         current.acceptedOrdersKnown = true;
         if (report.busy() && ordered) {
-            pollLater(order, current, POLL_INTERVAL);
+            pollLater(order, current, nextPollDelay(current));
             return;
         }
         TargetState state = clusterView.targetStates().getOrCreate(order.engine().incarnation());
@@ -381,6 +446,10 @@
 
     private void completeLoad(
             WeightOrder order, LoadProgress current, EngineOrderClient.EngineReport report) {
+        if (current.loading) {
+            Duration duration = Duration.between(current.orderedAt, clock.instant());
+            loadTimes.add(duration, current.concurrentLoads);
+        }
         current.loading = false;
         current.preparationStartedAt = null;
         clusterView
@@ -390,11 +459,25 @@
         log.write(
                 DecisionKind.ORDER,
                 order.engine().id(),
-                () -> "orders=" + report.acceptedOrders(),
+                () ->
+                        "orders="
+                                + report.acceptedOrders()
+                                + " load-milliseconds="
+                                + loadTimes.loadTime().map(Duration::toMillis).orElse(0L)
+                                + " concurrent="
+                                + current.concurrentLoads,
                 "has version " + report.weightVersion());
         onWeightChange.accept(order.engine().incarnation());
     }
 
+    /** Time after an order at which the preparation of the next engine starts. */
+    private Duration nearlyLoadedAfter() {
+        return loadTimes
+                .loadTime()
+                .orElse(LOAD_TIME_WITHOUT_ESTIMATE)
+                .minus(MINIMUM_PREPARATION_TIME);
+    }
+
     private static final class LoadProgress {
 
         private boolean loading;
@@ -403,16 +486,17 @@
         private long acceptedOrders;
         private Instant preparationStartedAt;
         private Instant orderedAt = Instant.EPOCH;
+        private int concurrentLoads;
         private Instant retryAt = Instant.EPOCH;
 
-        private RolloutPlanner.Phase phase(Instant now) {
+        private RolloutPlanner.Phase phase(Instant now, Duration nearlyLoadedAfter) {
             if (preparationStartedAt != null) {
                 return RolloutPlanner.Phase.PREPARING;
             }
             if (!isLoading(now)) {
                 return RolloutPlanner.Phase.NONE;
             }
-            return now.isBefore(orderedAt.plus(NEARLY_LOADED_AFTER))
+            return now.isBefore(orderedAt.plus(nearlyLoadedAfter))
                     ? RolloutPlanner.Phase.LOADING
                     : RolloutPlanner.Phase.NEARLY_LOADED;
         }
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -15,7 +15,7 @@
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.lease.LeaseTopic;
 import org.bergamothoist.core.lease.OrderLease;
-import org.bergamothoist.core.rollout.RolloutPlanner;
+import org.bergamothoist.core.rollout.RolloutSettings;
 import org.bergamothoist.core.rollout.WeightOrder;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.bergamothoist.gateway.state.ClusterView;
@@ -27,6 +27,10 @@
 class WeightRolloutTest {
 
     private static final Duration SPECIFIED_LOAD_TIME = Duration.ofMillis(1_900);
+
+    /** Loads that eight engines may run at once: a quarter of them. */
+    private static final int MAXIMUM_LOADS_OF_EIGHT = 2;
+
     private static final Duration REPORT_AGE = Duration.ofMillis(300);
     private static final Duration STEP = Duration.ofMillis(50);
     private static final String MODEL = "m";
@@ -38,6 +42,9 @@
     private final StreamMigrator migrator =
             new StreamMigrator(id -> migratedAt.putIfAbsent(id, time.instant()), time);
     private Duration longestIdleTime = Duration.ZERO;
+    private Duration loadTime = SPECIFIED_LOAD_TIME;
+    private Duration longestOutdated = Duration.ofSeconds(15);
+    private int statePolls;
     private int maximumLoading;
     private int minimumAccepting = Integer.MAX_VALUE;
 
@@ -83,12 +90,13 @@
             Instant streamsMovedAt = migratedAt.getOrDefault(order.engine().id(), Instant.MAX);
             longestIdleTime =
                     max(longestIdleTime, Duration.between(streamsMovedAt, time.instant()));
-            engine.loadEndsAt = time.instant().plus(SPECIFIED_LOAD_TIME).plus(drainTime);
+            engine.loadEndsAt = time.instant().plus(loadTime).plus(drainTime);
             return CompletableFuture.completedFuture(OrderResult.ACCEPTED);
         }
 
         @Override
         public CompletionStage<EngineReport> report(RegisteredTarget engine, String model) {
+            statePolls++;
             return CompletableFuture.completedFuture(
                     engines.get(engine.id()).report(time.instant()));
         }
@@ -142,6 +150,7 @@
                         clusterView,
                         new FakeOrderClient(drainTime),
                         lease,
+                        new WeightRollout.Limits(RolloutSettings.DEFAULT, longestOutdated, 75),
                         engine -> migrator.scheduleMigration(engine.id()),
                         time,
                         time,
@@ -181,8 +190,8 @@
         start(8, Duration.ofMillis(drainTimeMilliseconds));
         run(Duration.ofSeconds(24));
         assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 1);
-        assertThat(maximumLoading).isEqualTo(RolloutPlanner.MAXIMUM_LOADS);
-        assertThat(minimumAccepting).isGreaterThanOrEqualTo(8 - 2 * RolloutPlanner.MAXIMUM_LOADS);
+        assertThat(maximumLoading).isEqualTo(MAXIMUM_LOADS_OF_EIGHT);
+        assertThat(minimumAccepting).isGreaterThanOrEqualTo(8 - 2 * MAXIMUM_LOADS_OF_EIGHT);
     }
 
     /**
@@ -208,4 +217,35 @@
         assertThat(engines.values())
                 .allMatch(engine -> engine.report(time.instant()).weightVersion() == 2);
     }
+
+    /**
+     * Guards against waiting for a fixed load time where loads are much shorter: thirteen engines
+     * that load in 0.29 s, with a new version every 2 to 4 s (Plumex Fès).
+     */
+    @Test
+    void shortLoadsAreNoticedAndFollowedByTheNextOnes() {
+        loadTime = Duration.ofMillis(290);
+        longestOutdated = Duration.ofSeconds(6);
+        start(13, Duration.ZERO);
+        run(Duration.ofSeconds(6));
+        assertThat(engines.values())
+                .allMatch(engine -> engine.report(time.instant()).weightVersion() == 2);
+        assertThat(maximumLoading).isBetween(3, 4);
+        assertThat(statePolls).isLessThanOrEqualTo(13 * 5);
+    }
+
+    /**
+     * Guards against a number of concurrent loads that does not grow with the fleet: 59 engines
+     * that load in 1.9 s have to be done in 20 s (large site).
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1_000})
+    void largeFleetsHaveTheNewWeightsWithinTheTimeLimit(int drainTimeMilliseconds) {
+        longestOutdated = Duration.ofSeconds(20);
+        start(59, Duration.ofMillis(drainTimeMilliseconds));
+        run(longestOutdated);
+        assertThat(engines.values())
+                .allMatch(engine -> engine.report(time.instant()).weightVersion() == 2);
+        assertThat(maximumLoading).isLessThanOrEqualTo(59 / 4 + 1);
+    }
 }
