Bound what daemons of a large fleet send, poll and allow themselves

ReportSchedule sends loads among these only, and short heartbeats to all; each report says when the next one comes, and liveness follows that. A report lists only targets with work, changing weights or an unregistered version. The retry reserve is the daemon's share of the configured slack. Small fleets of equal VMs send, poll and list as before.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/OutstandingWork.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/OutstandingWork.java
@@ -68,6 +68,11 @@
         remoteLoads.put(daemon, new RemoteLoad(requestCount, tokens, now));
     }
 
+    /** Removes another daemon's outstanding work, because it has none left at the target. */
+    public void clearRemoteLoad(String daemon) {
+        remoteLoads.remove(daemon);
+    }
+
     /** Returns the number of this daemon's outstanding requests. */
     public int ownRequests() {
         return ownRequests;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
@@ -20,9 +20,12 @@
  */
 public final class DaemonDirectory {
 
-    /** Time without a report after which a daemon no longer counts as alive: three lost reports. */
+    /** Shortest time without a report after which a daemon no longer counts as alive. */
     static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_600);
 
+    /** Delay of a report that does not make its daemon count as silent. */
+    private static final Duration REPORT_DELAY_TOLERANCE = Duration.ofMillis(600);
+
     /** Time after which reports are no longer sent to an address that was not confirmed again. */
     private static final Duration CANDIDATE_RETENTION = Duration.ofSeconds(60);
 
@@ -70,13 +73,20 @@
 
     /** Returns the last reports of the daemons that are alive. */
     public List<DaemonReport> aliveReports() {
-        Instant oldest = clock.instant().minus(LIVENESS_TIMEOUT);
+        Instant now = clock.instant();
         return latestByName.values().stream()
-                .filter(known -> !known.at().isBefore(oldest))
+                .filter(known -> !now.isAfter(known.at().plus(livenessTimeout(known.report()))))
                 .map(ReceivedReport::report)
                 .toList();
     }
 
+    /** Returns the time without a report after which two reports of the daemon were lost. */
+    private static Duration livenessTimeout(DaemonReport report) {
+        Duration twoReports =
+                report.nextReportWithin().multipliedBy(2).plus(REPORT_DELAY_TOLERANCE);
+        return twoReports.compareTo(LIVENESS_TIMEOUT) > 0 ? twoReports : LIVENESS_TIMEOUT;
+    }
+
     /** Returns the peer addresses that reports are sent to, sorted. */
     public List<String> reportReceivers() {
         Instant oldest = clock.instant().minus(CANDIDATE_RETENTION);
@@ -85,26 +95,24 @@
     }
 
     /**
-     * Returns the caller addresses of the daemons that are ready, those in the caller's data centre
-     * first.
+     * Returns the daemons that are alive and ready.
      *
-     * @param own this daemon's caller address, or empty if it is not ready
-     * @param ownDataCentre data centre of this daemon
-     * @param dataCentre data centre of the caller
-     * @param maximum maximum number of addresses returned
+     * @param own this daemon, or empty if it is not ready
      */
-    public List<String> callerAddresses(
-            Optional<String> own, String ownDataCentre, String dataCentre, int maximum) {
-        List<String> local = new ArrayList<>();
-        List<String> remote = new ArrayList<>();
-        own.ifPresent((ownDataCentre.equals(dataCentre) ? local : remote)::add);
-        for (DaemonReport report : aliveReports()) {
-            if (report.ready()) {
-                (report.dataCentre().equals(dataCentre) ? local : remote)
-                        .add(report.callerAddress());
-            }
-        }
-        local.addAll(remote);
-        return local.stream().distinct().limit(maximum).toList();
+    public List<CallerAssignment.Candidate> readyDaemons(Optional<CallerAssignment.Candidate> own) {
+        List<CallerAssignment.Candidate> ready = new ArrayList<>();
+        own.ifPresent(ready::add);
+        aliveReports().stream()
+                .filter(DaemonReport::ready)
+                .map(
+                        report ->
+                                new CallerAssignment.Candidate(
+                                        report.daemon().name(),
+                                        report.dataCentre(),
+                                        report.callerAddress(),
+                                        report.peerAddress(),
+                                        report.capacity()))
+                .forEach(ready::add);
+        return ready;
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.core.gossip;
 
+import java.time.Duration;
 import java.util.List;
 import org.bergamothoist.core.identity.DaemonId;
 
@@ -14,7 +15,11 @@
  * @param orderHolder whether the daemon, by its own state, holds the lease for sending orders to
  *     engines
  * @param configurationVersion version of the operators' configuration that the daemon uses
- * @param targets outstanding work and observed weight version of each target
+ * @param capacity processor capacity of the daemon's VM, in cores
+ * @param nextReportWithin longest time until the receiver gets the next report
+ * @param cacheStoreReachable whether the daemon reads the KV cache store's events
+ * @param complete whether the daemon has no outstanding work at targets that are not listed
+ * @param targets outstanding work and observed weight version of targets
  */
 public record DaemonReport(
         DaemonId daemon,
@@ -26,6 +31,10 @@
         boolean storeReachable,
         boolean orderHolder,
         long configurationVersion,
+        double capacity,
+        Duration nextReportWithin,
+        boolean cacheStoreReachable,
+        boolean complete,
         List<TargetReport> targets) {
 
     public DaemonReport {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/RetryBudget.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/limit/RetryBudget.java
@@ -21,7 +21,7 @@
     private static final double ROUNDING_TOLERANCE = 1e-9;
 
     private final double share;
-    private final double reserve;
+    private double reserve;
     private double availableRetries;
 
     /**
@@ -40,6 +40,12 @@
         this.availableRetries = reserve;
     }
 
+    /** Changes the maximum number of unused retries; retries beyond it are lost. */
+    void limitReserve(int maximum) {
+        reserve = maximum;
+        availableRetries = Math.min(availableRetries, maximum);
+    }
+
     /** Creates a budget with the standard share and reserve. */
     public static RetryBudget standard() {
         return new RetryBudget(STANDARD_SHARE, STANDARD_RESERVE);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheStoreView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheStoreView.java
@@ -17,11 +17,13 @@
     /** Time since the last answer after which the store counts as unreachable. */
     private static final Duration REACHABILITY_TIMEOUT = Duration.ofMillis(1_800);
 
+    private static final long UNKNOWN_EPOCH = -1;
+
     private final CachedPartIndex cachedParts;
     private final InstantSource clock;
     private Instant lastAnswerAt = Instant.EPOCH;
     private String address = "";
-    private long epoch = -1;
+    private long epoch = UNKNOWN_EPOCH;
 
     /**
      * Creates a view without a known store.
@@ -61,6 +63,16 @@
         }
     }
 
+    /** Records that the store has answered another daemon. */
+    public void markReachable(String storeAddress) {
+        if (!address.equals(storeAddress)) {
+            cachedParts.removeHolder(address);
+            address = storeAddress;
+            epoch = UNKNOWN_EPOCH;
+        }
+        lastAnswerAt = clock.instant();
+    }
+
     /** Marks the store as unreachable until its next answer. */
     public void markUnreachable() {
         lastAnswerAt = Instant.EPOCH;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -161,14 +161,7 @@
     static Optional<String> preferredEngine(List<RegisteredTarget> engines, String affinityKey) {
         return engines.stream()
                 .map(RegisteredTarget::id)
-                .max(Comparator.comparingLong(id -> rendezvousScore(id, affinityKey)));
-    }
-
-    private static long rendezvousScore(String engine, String affinityKey) {
-        long mixed = engine.hashCode() * 0x9E3779B97F4A7C15L ^ affinityKey.hashCode();
-        mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return mixed ^ (mixed >>> 31);
+                .max(Comparator.comparingLong(id -> RendezvousHash.score(id, affinityKey)));
     }
 
     private Choice evaluate(
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/gossip/DaemonDirectoryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/gossip/DaemonDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.bergamothoist.core.identity.DaemonId;
@@ -27,9 +28,17 @@
                 true,
                 false,
                 1,
+                1,
+                Duration.ZERO,
+                false,
+                true,
                 List.of());
     }
 
+    private List<String> addresses(Optional<CallerAssignment.Candidate> own) {
+        return CallerAssignment.addresses(directory.readyDaemons(own), "x", 64);
+    }
+
     @ParameterizedTest
     @CsvSource({"1,5,1,6,true", "1,5,1,5,false", "1,5,2,1,true", "2,5,1,9,false"})
     void onlyNewerReportsAreStored(
@@ -48,7 +57,11 @@
         directory.update(report("far", 1, 1, "y", true));
         directory.update(report("near", 1, 1, "x", true));
         directory.update(report("stopping", 1, 1, "x", false));
-        assertThat(directory.callerAddresses(Optional.of("self:1"), "y", "x", 64))
+        assertThat(
+                        addresses(
+                                Optional.of(
+                                        new CallerAssignment.Candidate(
+                                                "self", "y", "self:1", "self:2", 1))))
                 .containsExactly("near:1", "self:1", "far:1");
     }
 
@@ -56,7 +69,7 @@
     void silentDaemonIsNoLongerReturned() {
         directory.update(report("a", 1, 1, "x", true));
         time.advanceMillis(DaemonDirectory.LIVENESS_TIMEOUT.toMillis() + 1);
-        assertThat(directory.callerAddresses(Optional.empty(), "x", "x", 64)).isEmpty();
+        assertThat(addresses(Optional.empty())).isEmpty();
         assertThat(directory.reportReceivers()).containsExactly("a:2");
     }
 
@@ -64,6 +77,41 @@
     void candidateAddressGetsReportsButIsNotReturned() {
         directory.addCandidate("b:2");
         assertThat(directory.reportReceivers()).containsExactly("b:2");
-        assertThat(directory.callerAddresses(Optional.empty(), "x", "x", 64)).isEmpty();
+        assertThat(addresses(Optional.empty())).isEmpty();
+    }
+
+    /**
+     * Guards against daemons that count as silent by turns because each of them reports to a part
+     * of a large fleet in turn.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "200,1500,true",
+        "200,1700,false",
+        "1000,2500,true",
+        "5000,10500,true",
+        "5000,10700,false"
+    })
+    void daemonIsAliveUntilTwoAnnouncedReportsAreMissing(
+            long nextMilliseconds, long silentMilliseconds, boolean alive) {
+        DaemonReport base = report("a", 1, 1, "x", true);
+        directory.update(
+                new DaemonReport(
+                        base.daemon(),
+                        base.sequence(),
+                        base.callerAddress(),
+                        base.peerAddress(),
+                        base.dataCentre(),
+                        true,
+                        true,
+                        false,
+                        1,
+                        1,
+                        Duration.ofMillis(nextMilliseconds),
+                        false,
+                        true,
+                        List.of()));
+        time.advanceMillis(silentMilliseconds);
+        assertThat(directory.aliveReports()).hasSize(alive ? 1 : 0);
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -26,7 +27,9 @@
 import org.bergamothoist.core.fleet.ServicePlacement;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetState;
+import org.bergamothoist.core.gossip.CallerAssignment;
 import org.bergamothoist.core.gossip.DaemonReport;
+import org.bergamothoist.core.gossip.ReportSchedule;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.lease.OrderLease;
 import org.bergamothoist.core.limit.RetryBudgets;
@@ -54,6 +57,7 @@
 import org.bergamothoist.gateway.control.StreamMigrator;
 import org.bergamothoist.gateway.control.StructuredDecisionLog;
 import org.bergamothoist.gateway.control.WeightRollout;
+import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.ClusterViewUpdater;
 
@@ -72,7 +76,7 @@
     /** Time for a connection to the store or another daemon. */
     private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-    /** A change of the configuration has to be in force within two seconds. */
+    /** A change of the configuration has to be in force within seconds. */
     private static final FeedFollower.PollSettings OPERATOR_PACE =
             new FeedFollower.PollSettings(Duration.ofMillis(20), Duration.ofMillis(1_400));
 
@@ -106,8 +110,8 @@
     /** Most addresses in an answer to a caller. */
     private static final int MOST_ADDRESSES = 64;
 
-    /** Repeats that a daemon saves up: its share of what is allowed at once to six daemons. */
-    private static final int RETRY_RESERVE = 8;
+    /** Share of the retries allowed at once that daemons use; the rest covers differing views. */
+    private static final double RETRY_SLACK_SHARE = 0.93;
 
     private final GatewaySettings settings;
     private final EventLoop eventLoop;
@@ -119,6 +123,7 @@
     private final DecisionLog log;
     private final DaemonId self;
     private final ClusterView clusterView;
+    private final CallerDaemons callerDaemons;
     private final PlatformAdapter.Store store;
     private final ClusterViewUpdater updater;
     private final FeedFollower operatorFeed;
@@ -152,6 +157,7 @@
         this.log = new StructuredDecisionLog(settings.daemon(), InstantSource.system(), metrics);
         this.self = new DaemonId(settings.daemon(), clock.millis());
         this.clusterView = ClusterView.empty(self, clock);
+        this.callerDaemons = createCallerDaemons();
 
         ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
         HttpCaller controlCaller =
@@ -175,6 +181,7 @@
                 new ReportExchange(
                         clusterView,
                         this::report,
+                        this::reportSituation,
                         departure::scheduleMigration,
                         eventLoop,
                         scheduler,
@@ -207,10 +214,28 @@
                         log);
         this.caches =
                 new CacheEventPollers(
-                        clusterView, platform.cacheEvents(controlCaller), scheduler, log);
+                        clusterView,
+                        platform.cacheEvents(controlCaller),
+                        self.name(),
+                        () -> callerDaemons.isStarting() ? Set.of() : callerDaemons.names(),
+                        scheduler,
+                        log);
         this.rollout = createRollout(platform.engineOrders(controlCaller));
     }
 
+    private CallerDaemons createCallerDaemons() {
+        return new CallerDaemons(
+                new CallerAssignment.Candidate(
+                        self.name(),
+                        settings.dataCentre(),
+                        settings.callers(),
+                        settings.peers(),
+                        settings.capacity()),
+                this::isReady,
+                clusterView.daemons(),
+                clock);
+    }
+
     private WeightRollout createRollout(EngineOrderClient orderClient) {
         return new WeightRollout(
                 self.name(),
@@ -259,7 +284,7 @@
         return new ExchangeDependencies(
                 filters.chain(),
                 targetSelector,
-                new RetryPolicy(new RetryBudgets(settings.retryShare(), RETRY_RESERVE)),
+                new RetryPolicy(new RetryBudgets(settings.retryShare(), this::retryReserve)),
                 new AdmissionPolicy(random),
                 targets,
                 platform.dialect(),
@@ -377,7 +402,27 @@
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
 
-    private DaemonReport report(List<DaemonReport.TargetReport> targets) {
+    private int retryReserve() {
+        return (int) (settings.retrySlack() * RETRY_SLACK_SHARE / callerDaemons.count());
+    }
+
+    private ReportSchedule.Situation reportSituation(List<String> receivers) {
+        boolean starting = callerDaemons.isStarting();
+        boolean hasWork =
+                lease.isHolder()
+                        || clusterView.targets().all().stream()
+                                .map(target -> clusterView.targetStates().find(target.id()))
+                                .flatMap(Optional::stream)
+                                .anyMatch(state -> state.load().ownRequests() > 0);
+        return new ReportSchedule.Situation(
+                receivers,
+                starting ? Set.of() : callerDaemons.peerAddresses(),
+                callerDaemons.isActive(),
+                hasWork);
+    }
+
+    private DaemonReport report(
+            List<DaemonReport.TargetReport> targets, Duration nextWithin, boolean complete) {
         return new DaemonReport(
                 self,
                 ++reportSequence,
@@ -388,6 +433,10 @@
                 isStoreReachable(),
                 lease.isHolder(),
                 clusterView.configuration().version(),
+                settings.capacity(),
+                nextWithin,
+                caches.isStoreReachable(),
+                complete,
                 targets);
     }
 
@@ -398,10 +447,7 @@
 
     @Override
     public List<String> addresses(String dataCentre) {
-        Optional<String> own = isReady() ? Optional.of(settings.callers()) : Optional.empty();
-        return clusterView
-                .daemons()
-                .callerAddresses(own, settings.dataCentre(), dataCentre, MOST_ADDRESSES);
+        return CallerAssignment.addresses(callerDaemons.assigned(), dataCentre, MOST_ADDRESSES);
     }
 
     /** Notes that the settings file may have changed; its addresses count from the next start. */
@@ -427,6 +473,7 @@
         }
         Instant signalledAt = clock.instant();
         stopping = true;
+        callerDaemons.refresh();
         callers.closeAfterResponses();
         reports.sendReportUnlessRecent();
         log.write(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
@@ -26,7 +26,10 @@
  * @param orderLeaseMilliseconds least time between the orders of two daemons
  * @param graceSeconds time from the signal to stop until the process is killed
  * @param retryShare share of requests that may be sent once more, over all daemons
+ * @param retrySlack retries allowed at once beside that share, over all daemons
  * @param longestOutdatedMilliseconds time after which no request may begin on outdated weights
+ * @param processorShare share of its cores that the VM may use
+ * @param processorCores number of the VM's cores, or their speed relative to one core
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record GatewaySettings(
@@ -42,7 +45,10 @@
         @JsonProperty("order_lease_milliseconds") long orderLeaseMilliseconds,
         @JsonProperty("grace_seconds") double graceSeconds,
         @JsonProperty("retry_share") double retryShare,
-        @JsonProperty("longest_outdated_milliseconds") long longestOutdatedMilliseconds) {
+        @JsonProperty("retry_slack") int retrySlack,
+        @JsonProperty("longest_outdated_milliseconds") long longestOutdatedMilliseconds,
+        @JsonProperty("processor_share") double processorShare,
+        @JsonProperty("processor_cores") double processorCores) {
 
     private static final int LARGEST_PORT = 65_535;
 
@@ -93,12 +99,26 @@
         if (longestOutdatedMilliseconds <= 0) {
             faults.add("longest_outdated_milliseconds: must be above 0");
         }
+        if (retrySlack < 0) {
+            faults.add("retry_slack: must not be below 0");
+        }
+        if (processorShare <= 0) {
+            faults.add("processor_share: must be above 0");
+        }
+        if (processorCores <= 0) {
+            faults.add("processor_cores: must be above 0");
+        }
         if (retryShare < 0 || retryShare > 1) {
             faults.add("retry_share: must be from 0 to 1");
         }
         return faults;
     }
 
+    /** Returns the processor capacity of the daemon's VM, in cores. */
+    public double capacity() {
+        return processorShare * processorCores;
+    }
+
     private static void checkText(List<String> faults, String key, String value) {
         if (value == null || value.isBlank()) {
             faults.add(key + ": missing");
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
@@ -14,14 +14,18 @@
     /** Delay between calls, so that events are read in batches. */
     private static final Duration POLL_DELAY = Duration.ofMillis(150);
 
-    /** Delay after a failed call, or while the address is unknown. */
+    /** Delay after the first failed call, or while there is no address to poll. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
+    /** Delay after many failed calls in a row, each of which doubles it. */
+    private static final Duration MAXIMUM_RETRY_DELAY = Duration.ofSeconds(4);
+
     private final Supplier<Optional<String>> address;
     private final CacheEventClient client;
     private final Scheduler scheduler;
     private final Observer observer;
     private long nextSequence;
+    private Duration retryDelay = RETRY_DELAY;
     private boolean stopped;
 
     /** Receives the results of the calls. */
@@ -77,12 +81,19 @@
                             }
                             if (failure != null) {
                                 observer.onFailure(failure);
-                                scheduler.schedule(RETRY_DELAY, this::poll);
+                                scheduler.schedule(retryDelay, this::poll);
+                                retryDelay = doubled(retryDelay);
                                 return;
                             }
+                            retryDelay = RETRY_DELAY;
                             nextSequence = page.nextSequence();
                             observer.onEvents(current.get(), page);
                             scheduler.schedule(POLL_DELAY, this::poll);
                         });
     }
+
+    private static Duration doubled(Duration delay) {
+        Duration twice = delay.multipliedBy(2);
+        return twice.compareTo(MAXIMUM_RETRY_DELAY) < 0 ? twice : MAXIMUM_RETRY_DELAY;
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPollers.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPollers.java
@@ -7,11 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetIncarnation;
+import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.prefix.CachedPartEvent;
+import org.bergamothoist.core.prefix.EventPollAssignment;
 import org.bergamothoist.core.route.CacheStoreDefinition;
 import org.bergamothoist.core.route.EngineDefinition;
 import org.bergamothoist.core.route.RouteConfiguration;
@@ -20,8 +23,8 @@
 import org.bergamothoist.gateway.state.ClusterView;
 
 /**
- * Polls all engines and the KV cache store for cache events and applies them to the cache indexes.
- * Confined to the event loop.
+ * Polls engines and the KV cache store for cache events and applies them to the cache indexes. In a
+ * large fleet each daemon polls some of them only. Confined to the event loop.
  */
 public final class CacheEventPollers {
 
@@ -30,18 +33,29 @@
 
     private final ClusterView clusterView;
     private final CacheEventClient client;
+    private final String self;
+    private final Supplier<Set<String>> pollingDaemons;
     private final Scheduler scheduler;
     private final DecisionLog log;
     private final Map<TargetIncarnation, CacheEventPoller> enginePollers = new HashMap<>();
 
-    /** Creates pollers that are not started yet. */
+    /**
+     * Creates pollers that are not started yet.
+     *
+     * @param self name of this daemon
+     * @param pollingDaemons returns the names of the daemons among which the polls are divided
+     */
     public CacheEventPollers(
             ClusterView clusterView,
             CacheEventClient client,
+            String self,
+            Supplier<Set<String>> pollingDaemons,
             Scheduler scheduler,
             DecisionLog log) {
         this.clusterView = clusterView;
         this.client = client;
+        this.self = self;
+        this.pollingDaemons = pollingDaemons;
         this.scheduler = scheduler;
         this.log = log;
     }
@@ -49,7 +63,7 @@
     /** Starts to poll. */
     public void start() {
         new CacheEventPoller(
-                        () -> cacheStore().map(CacheStoreDefinition::address),
+                        () -> polledCacheStore().map(CacheStoreDefinition::address),
                         client,
                         scheduler,
                         new StoreObserver())
@@ -61,20 +75,57 @@
         return clusterView.configuration().current().flatMap(RouteConfiguration::cacheStore);
     }
 
+    private Optional<CacheStoreDefinition> polledCacheStore() {
+        Set<String> daemons = pollingDaemons.get();
+        return cacheStore()
+                .filter(store -> isAssigned(daemons, store.address(), store.maximumEventCalls()));
+    }
+
+    private boolean isAssigned(Set<String> daemons, String target, int maximumCalls) {
+        return EventPollAssignment.isAssigned(self, daemons, target, maximumCalls);
+    }
+
+    /** Returns whether the KV cache store has answered this daemon recently. */
+    public boolean isStoreReachable() {
+        return polledCacheStore()
+                .filter(store -> clusterView.cacheStore().isReachable(store.address()))
+                .isPresent();
+    }
+
+    /** Adopts what other daemons report of the store, if this one does not poll it. */
+    private void adoptReportedStore() {
+        if (polledCacheStore().isPresent()) {
+            return;
+        }
+        boolean reachable =
+                clusterView.daemons().aliveReports().stream()
+                        .anyMatch(DaemonReport::cacheStoreReachable);
+        cacheStore()
+                .filter(store -> reachable)
+                .ifPresent(store -> clusterView.cacheStore().markReachable(store.address()));
+    }
+
     private void reconcileEnginePollers() {
+        adoptReportedStore();
+        Set<String> daemons = pollingDaemons.get();
         scheduler.schedule(RECONCILE_INTERVAL, this::reconcileEnginePollers);
         Set<TargetIncarnation> registered = new HashSet<>();
         for (ServiceDefinition service : engineServices()) {
-            long capacityTokens = service.engine().map(EngineDefinition::cacheTokens).orElse(0L);
+            EngineDefinition definition = service.engine().orElseThrow();
             for (RegisteredTarget engine : clusterView.targets().accepting(service.name())) {
+                if (!isAssigned(daemons, engine.id(), definition.maximumEventCalls())) {
+                    continue;
+                }
                 registered.add(engine.incarnation());
                 enginePollers.computeIfAbsent(
-                        engine.incarnation(), incarnation -> startPoller(engine, capacityTokens));
+                        engine.incarnation(),
+                        incarnation -> startPoller(engine, definition.cacheTokens()));
             }
         }
         for (TargetIncarnation polled : List.copyOf(enginePollers.keySet())) {
             if (!registered.contains(polled)) {
                 enginePollers.remove(polled).stop();
+                clusterView.reportedParts().removeHolder(polled.toString());
             }
         }
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.bergamothoist.core.error.ErrorCode;
@@ -28,7 +29,11 @@
                         .setReady(report.ready())
                         .setStoreReachable(report.storeReachable())
                         .setOrderHolder(report.orderHolder())
-                        .setConfigurationVersion(report.configurationVersion());
+                        .setConfigurationVersion(report.configurationVersion())
+                        .setCapacity(report.capacity())
+                        .setNextReportMilliseconds((int) report.nextReportWithin().toMillis())
+                        .setCacheStoreReachable(report.cacheStoreReachable())
+                        .setComplete(report.complete());
         report.targets().forEach(target -> builder.addTargets(encode(target)));
         return builder.build().toByteArray();
     }
@@ -62,6 +67,10 @@
                 report.getStoreReachable(),
                 report.getOrderHolder(),
                 report.getConfigurationVersion(),
+                report.getCapacity(),
+                Duration.ofMillis(report.getNextReportMilliseconds()),
+                report.getCacheStoreReachable(),
+                report.getComplete(),
                 report.getTargetsList().stream().map(GossipMessageCodec::decode).toList());
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportExchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportExchange.java
@@ -25,6 +25,7 @@
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.gossip.DaemonReport;
+import org.bergamothoist.core.gossip.ReportSchedule;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.GatewayException;
 import org.bergamothoist.gateway.client.ConnectionPool;
@@ -33,19 +34,15 @@
 /**
  * Exchanges reports with other daemons (gossip), one UDP datagram each. Confined to the event loop.
  *
- * <p>A daemon sends to a bounded number of others in each round, so that its cost does not grow
- * with the fleet.
+ * <p>{@link ReportSchedule} decides who gets what in each round.
  */
 public final class ReportExchange {
 
-    /** Interval between rounds; the load of targets changes within the time of a few requests. */
-    private static final Duration ROUND_INTERVAL = Duration.ofMillis(200);
-
     /**
      * Time after which a target that was reported as loading weights no longer counts as loading,
      * unless it is reported again: a few reports.
      */
-    private static final Duration CHANGING_WEIGHTS_TTL = Duration.ofMillis(700);
+    private static final Duration CHANGING_WEIGHTS_TTL = Duration.ofMillis(1_500);
 
     /** Minimum time since the last report for a report between rounds. */
     private static final Duration MINIMUM_PAUSE = Duration.ofMillis(60);
@@ -53,11 +50,18 @@
     /** Time to collect grown loads into one report: a small part of the prefill of a prompt. */
     private static final Duration LOAD_REPORT_DELAY = Duration.ofMillis(5);
 
-    /** Maximum number of receivers of a round. */
-    private static final int MAXIMUM_RECEIVERS = 8;
+    /**
+     * Number of daemons that take callers' requests up to which grown loads are reported at once.
+     */
+    private static final int MAXIMUM_LOAD_REPORT_RECEIVERS = 8;
+
+    /** Maximum number of receivers of a report between rounds. */
+    private static final int MAXIMUM_URGENT_RECEIVERS = 64;
 
     private final ClusterView clusterView;
-    private final Function<List<DaemonReport.TargetReport>, DaemonReport> ownReport;
+    private final OwnReport ownReport;
+    private final Function<List<String>, ReportSchedule.Situation> situation;
+    private final ReportSchedule schedule = new ReportSchedule();
     private final Consumer<String> onLoadingWeights;
     private final EventLoop eventLoop;
     private final Scheduler scheduler;
@@ -65,19 +69,33 @@
     private final DecisionLog log;
     private Channel channel;
     private Instant lastSentAt = Instant.EPOCH;
-    private int nextReceiver;
     private boolean loadReportScheduled;
     private Set<String> previouslyAlive = Set.of();
 
+    /** Creates this daemon's reports. */
+    @FunctionalInterface
+    public interface OwnReport {
+
+        /**
+         * Creates the next report.
+         *
+         * @param nextWithin longest time until its receivers get the next one
+         * @param complete whether this daemon has no work at targets that are not listed
+         */
+        DaemonReport create(
+                List<DaemonReport.TargetReport> targets, Duration nextWithin, boolean complete);
+    }
+
     /**
      * Creates an exchange that is not open yet.
      *
-     * @param ownReport creates this daemon's report, which contains the given target reports
+     * @param situation returns what the receivers depend on, given the addresses of all daemons
      * @param onLoadingWeights called with the id of a target that is about to load weights
      */
     public ReportExchange(
             ClusterView clusterView,
-            Function<List<DaemonReport.TargetReport>, DaemonReport> ownReport,
+            OwnReport ownReport,
+            Function<List<String>, ReportSchedule.Situation> situation,
             Consumer<String> onLoadingWeights,
             EventLoop eventLoop,
             Scheduler scheduler,
@@ -85,6 +103,7 @@
             DecisionLog log) {
         this.clusterView = clusterView;
         this.ownReport = ownReport;
+        this.situation = situation;
         this.onLoadingWeights = onLoadingWeights;
         this.eventLoop = eventLoop;
         this.scheduler = scheduler;
@@ -106,9 +125,17 @@
     }
 
     private void round() {
-        sendFullReport();
+        ReportSchedule.Situation current = currentSituation();
+        ReportSchedule.Round receivers = schedule.next(current);
+        lastSentAt = clock.instant();
+        send(targetReports(state -> true), current, receivers.complete(), true);
+        send(List.of(), current, receivers.heartbeats(), false);
         logLivenessChanges();
-        scheduler.schedule(ROUND_INTERVAL, this::round);
+        scheduler.schedule(ReportSchedule.ROUND_INTERVAL, this::round);
+    }
+
+    private ReportSchedule.Situation currentSituation() {
+        return situation.apply(clusterView.daemons().reportReceivers());
     }
 
     /**
@@ -116,19 +143,25 @@
      * sent a short time ago.
      */
     public void sendReportUnlessRecent() {
-        if (channel != null && !clock.instant().isBefore(lastSentAt.plus(MINIMUM_PAUSE))) {
-            sendFullReport();
+        if (channel == null || clock.instant().isBefore(lastSentAt.plus(MINIMUM_PAUSE))) {
+            return;
         }
+        lastSentAt = clock.instant();
+        ReportSchedule.Situation current = currentSituation();
+        List<String> receivers =
+                current.completeReceivers().stream().limit(MAXIMUM_URGENT_RECEIVERS).toList();
+        send(targetReports(state -> true), current, receivers, true);
     }
 
     /**
-     * Handles the dispatch of a request to a target. In a small fleet a considerable growth of the
-     * target's load is reported at once, so that daemons do not all choose the same target until
-     * the next round.
+     * Handles the dispatch of a request to a target. If few daemons take requests, a considerable
+     * growth of the target's load is reported at once, so that daemons do not all choose the same
+     * target until the next round.
      */
     public void onDispatched(TargetState state) {
         boolean reportNeeded = !loadReportScheduled && state.load().needsReport();
-        if (reportNeeded && clusterView.daemons().reportReceivers().size() <= MAXIMUM_RECEIVERS) {
+        if (reportNeeded
+                && currentSituation().completeReceivers().size() <= MAXIMUM_LOAD_REPORT_RECEIVERS) {
             loadReportScheduled = true;
             scheduler.schedule(LOAD_REPORT_DELAY, this::sendLoadReport);
         }
@@ -138,17 +171,16 @@
         loadReportScheduled = false;
         List<DaemonReport.TargetReport> grown = targetReports(state -> state.load().needsReport());
         if (!grown.isEmpty()) {
-            send(grown);
+            ReportSchedule.Situation current = currentSituation();
+            send(grown, current, current.completeReceivers(), false);
         }
     }
 
-    private void sendFullReport() {
-        lastSentAt = clock.instant();
-        send(targetReports(state -> true));
-    }
-
-    private void send(List<DaemonReport.TargetReport> targets) {
-        List<String> receivers = clusterView.daemons().reportReceivers();
+    private void send(
+            List<DaemonReport.TargetReport> targets,
+            ReportSchedule.Situation current,
+            List<String> receivers,
+            boolean complete) {
         if (receivers.isEmpty() || !channel.isActive()) {
             return;
         }
@@ -158,16 +190,14 @@
                                 .targetStates()
                                 .find(target.target())
                                 .ifPresent(state -> state.load().markReported()));
-        byte[] report = GossipMessageCodec.encode(ownReport.apply(targets));
-        int count = Math.min(MAXIMUM_RECEIVERS, receivers.size());
-        for (int index = 0; index < count; index++) {
-            String receiver = receivers.get((nextReceiver + index) % receivers.size());
+        Duration nextWithin = ReportSchedule.nextReportWithin(current);
+        byte[] report = GossipMessageCodec.encode(ownReport.create(targets, nextWithin, complete));
+        for (String receiver : receivers) {
             channel.write(
                     new DatagramPacket(
                             Unpooled.wrappedBuffer(report),
                             ConnectionPool.socketAddress(receiver)));
         }
-        nextReceiver = (nextReceiver + count) % receivers.size();
         channel.flush();
     }
 
@@ -197,7 +227,9 @@
         for (RegisteredTarget target : clusterView.targets().all()) {
             TargetState state = clusterView.targetStates().getOrCreate(target.incarnation());
             boolean nothingToReport =
-                    state.load().ownRequests() == 0 && state.weightVersion().isEmpty();
+                    state.load().ownRequests() == 0
+                            && !state.isChangingWeights(now)
+                            && isVersionRegistered(target, state);
             if (!nothingToReport && filter.test(state)) {
                 reports.add(
                         new DaemonReport.TargetReport(
@@ -212,6 +244,12 @@
         return reports;
     }
 
+    /** Returns whether other daemons know the target's weight version from its registration. */
+    private static boolean isVersionRegistered(RegisteredTarget target, TargetState state) {
+        return state.weightVersion().isEmpty()
+                || target.weightVersions().containsValue(state.weightVersion().getAsInt());
+    }
+
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
         @Override
@@ -234,6 +272,23 @@
                 return;
             }
             report.targets().forEach(target -> applyTargetReport(report, target));
+            if (report.complete()) {
+                clearUnlistedLoads(report);
+            }
+        }
+
+        private void clearUnlistedLoads(DaemonReport report) {
+            Set<String> listed = new HashSet<>();
+            report.targets().forEach(target -> listed.add(target.target()));
+            for (RegisteredTarget target : clusterView.targets().all()) {
+                if (!listed.contains(target.id())) {
+                    clusterView
+                            .targetStates()
+                            .find(target.id())
+                            .ifPresent(
+                                    state -> state.load().clearRemoteLoad(report.daemon().name()));
+                }
+            }
         }
 
         private void applyTargetReport(DaemonReport report, DaemonReport.TargetReport target) {
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CallerDaemons.java
@@ -0,0 +1,105 @@
+package org.bergamothoist.gateway.state;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.bergamothoist.core.gossip.CallerAssignment;
+import org.bergamothoist.core.gossip.DaemonDirectory;
+import org.bergamothoist.core.gossip.ReportSchedule;
+
+/**
+ * The daemons that take callers' requests, as this daemon sees them. Confined to the event loop.
+ */
+public final class CallerDaemons {
+
+    /** Time after the start in which reports of all other daemons arrive. */
+    private static final Duration STARTUP_PERIOD = Duration.ofSeconds(5);
+
+    /** Age at which the assignment is computed again. */
+    private static final Duration MAXIMUM_AGE = ReportSchedule.ROUND_INTERVAL;
+
+    private final CallerAssignment.Candidate self;
+    private final BooleanSupplier selfReady;
+    private final DaemonDirectory directory;
+    private final InstantSource clock;
+    private final Instant startedAt;
+    private Instant computedAt = Instant.EPOCH;
+    private List<CallerAssignment.Candidate> assigned = List.of();
+
+    /**
+     * Creates a view that is computed on demand.
+     *
+     * @param selfReady returns whether this daemon is ready
+     */
+    public CallerDaemons(
+            CallerAssignment.Candidate self,
+            BooleanSupplier selfReady,
+            DaemonDirectory directory,
+            InstantSource clock) {
+        this.self = self;
+        this.selfReady = selfReady;
+        this.directory = directory;
+        this.clock = clock;
+        this.startedAt = clock.instant();
+    }
+
+    /** Returns the daemons that take callers' requests. */
+    public List<CallerAssignment.Candidate> assigned() {
+        Instant now = clock.instant();
+        if (now.isAfter(computedAt.plus(MAXIMUM_AGE))) {
+            refresh();
+        }
+        return assigned;
+    }
+
+    /** Computes the assignment again, because this daemon's readiness has changed. */
+    public void refresh() {
+        Optional<CallerAssignment.Candidate> own =
+                selfReady.getAsBoolean() ? Optional.of(self) : Optional.empty();
+        assigned =
+                CallerAssignment.choose(
+                        directory.readyDaemons(own), CallerAssignment.Settings.DEFAULT);
+        computedAt = clock.instant();
+    }
+
+    /** Returns whether reports of other daemons may still be missing. */
+    public boolean isStarting() {
+        return clock.instant().isBefore(startedAt.plus(STARTUP_PERIOD));
+    }
+
+    /** Returns whether this daemon takes callers' requests, or may have to. */
+    public boolean isActive() {
+        return isStarting() || assigned().contains(self);
+    }
+
+    /** Returns the peer addresses of the daemons that take callers' requests. */
+    public Set<String> peerAddresses() {
+        return assigned().stream()
+                .map(CallerAssignment.Candidate::peerAddress)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns the number of daemons among which limits for the whole fleet are divided. While
+     * reports may be missing, that is every known address.
+     */
+    public int count() {
+        int known = directory.reportReceivers().size() + 1;
+        return isStarting() ? known : Math.max(1, assigned().size());
+    }
+
+    /** Returns the names of the daemons that take callers' requests, this one included. */
+    public Set<String> names() {
+        Set<String> names =
+                assigned().stream()
+                        .map(CallerAssignment.Candidate::name)
+                        .collect(Collectors.toSet());
+        names.add(self.name());
+        return names;
+    }
+}
