Place by slots, by transfer cost and by what answers show of caches

Cause: placement knew prefill tokens and a fixed cost per running request, learned with engines of 128 slots. A request could be sent to an engine of 12 slots that was full; a fetch cost the same where a token takes 35 KB and where it takes 328 KB; parts read a moment ago at another engine were unknown until its events came, or for good where this daemon does not read them. Change: the wait for a slot follows from the registered slots and the learned time in a slot (median of recent requests); transfer cost follows from the configured size and link; the first bytes of an answer record the prompt's shared parts as cached there. RecentDurations holds the median that LoadTimeEstimator uses too. Measured: EnginePlacementTest has the full engine for 12, 16, 32, 64 and 128 slots (fails before for each).

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EngineCosts.java
@@ -12,8 +12,8 @@
  *     period
  * @param allRequestsFailing penalty for an engine at which all requests fail; scaled by the failure
  *     rate
- * @param fetchedToken cost of each shared token that an engine fetches from another holder: the
- *     transfer and the cache memory that it takes from other parts
+ * @param fetchedToken cost of each shared token that an engine fetches from another holder, beside
+ *     its transfer: the cache memory that it takes from other parts
  * @param nonPreferredToken penalty for each shared token that no holder is known to have cached, at
  *     an engine other than the preferred one, which may be computing it already
  * @param crossDataCentre penalty for an engine in another data centre
@@ -30,5 +30,5 @@
 
     /** Coefficients for the engines of the initial deployment. */
     public static final EngineCosts STANDARD =
-            new EngineCosts(74.8, 0.8, 160, 20, 2_000, 0.008, 0.05, 3);
+            new EngineCosts(74.8, 0.8, 160, 20, 2_000, 0.006, 0.05, 3);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -14,6 +14,7 @@
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.fleet.TargetStateTable;
 import org.bergamothoist.core.route.Organisation;
+import org.bergamothoist.core.time.RecentDurations;
 
 /**
  * Chooses the engine for a request: the one with the lowest predicted time to the first token, with
@@ -32,6 +33,12 @@
      */
     private static final Duration OUTDATED_GRACE_PERIOD = Duration.ofMillis(1_500);
 
+    /** Number of requests of a service from which the time in an engine's slot is learned. */
+    private static final int SLOT_TIME_WINDOW = 64;
+
+    /** Assumed time of a request in an engine's slot, until the first ones have ended. */
+    private static final Duration SLOT_TIME_WITHOUT_ESTIMATE = Duration.ofMillis(500);
+
     /** Longest time that a request is expected to wait in the queue of an engine. */
     private static final Duration MAXIMUM_QUEUEING_TIME = Duration.ofMillis(2_500);
 
@@ -43,6 +50,7 @@
     private final EngineCosts costs;
     private final Duration longestOutdated;
     private final InstantSource clock;
+    private final Map<String, RecentDurations> slotTimesByService = new HashMap<>();
 
     /**
      * Creates a placement for one daemon.
@@ -95,9 +103,31 @@
         Optional<Instant> of(int version);
     }
 
-    /** The properties of a request that its placement depends on. */
+    /**
+     * The properties of a request that its placement depends on.
+     *
+     * @param transferMillisecondsPerToken time that an engine needs to fetch a cached token
+     */
     public record Requirements(
-            PartitionedPrompt prompt, Organisation organisation, OutdatedSince outdatedSince) {}
+            PartitionedPrompt prompt,
+            Organisation organisation,
+            OutdatedSince outdatedSince,
+            double transferMillisecondsPerToken) {}
+
+    /**
+     * Records how long a completed request occupied a slot of an engine, without its time in the
+     * queue.
+     */
+    public void recordSlotTime(String service, Duration slotTime) {
+        slotTimesByService
+                .computeIfAbsent(service, name -> new RecentDurations(SLOT_TIME_WINDOW))
+                .add(slotTime);
+    }
+
+    /** Returns the number of prompt tokens that an engine computes per millisecond. */
+    public double prefillTokensPerMillisecond() {
+        return costs.prefillTokensPerMillisecond();
+    }
 
     /**
      * Returns the engine with the lowest predicted time, or empty if no engine can take the
@@ -181,14 +211,18 @@
         int uncachedSharedTokens =
                 Math.max(0, prompt.sharedTokens() - cachedTokens - fetchedTokens);
         int prefillTokens = Math.max(0, prompt.promptTokens() - cachedTokens - fetchedTokens);
-        double queueingMilliseconds =
+        double prefillMilliseconds =
                 state.load().totalPrefillTokens(now) / costs.prefillTokensPerMillisecond();
+        double queueingMilliseconds =
+                Math.max(prefillMilliseconds, slotWaitMilliseconds(engine, state, now));
         double predictedMilliseconds =
                 queueingMilliseconds + prefillTokens / costs.prefillTokensPerMillisecond();
         predictedMilliseconds += costs.runningRequest() * state.load().totalRequests(now);
         predictedMilliseconds += costs.allRequestsFailing() * state.health().failureRate();
         predictedMilliseconds += outdatedPenalty(outdatedSince(engine, requirements), now);
-        predictedMilliseconds += costs.fetchedToken() * fetchedTokens;
+        predictedMilliseconds +=
+                (costs.fetchedToken() + requirements.transferMillisecondsPerToken())
+                        * fetchedTokens;
         if (!engine.dataCentre().equals(dataCentre)) {
             predictedMilliseconds += costs.crossDataCentre();
         }
@@ -202,6 +236,22 @@
                 Duration.ofMillis(Math.round(queueingMilliseconds)));
     }
 
+    /**
+     * Returns the predicted time until the engine has a free slot for one more request. While it is
+     * full, a slot becomes free each time one of its requests ends.
+     */
+    private double slotWaitMilliseconds(RegisteredTarget engine, TargetState state, Instant now) {
+        int requestsBefore = state.load().totalRequests(now) - engine.slots() + 1;
+        if (engine.slots() <= 0 || requestsBefore <= 0) {
+            return 0;
+        }
+        Duration slotTime =
+                Optional.ofNullable(slotTimesByService.get(engine.service()))
+                        .flatMap(RecentDurations::median)
+                        .orElse(SLOT_TIME_WITHOUT_ESTIMATE);
+        return (double) requestsBefore * slotTime.toMillis() / engine.slots();
+    }
+
     private int expectedCachedTokens(Candidate candidate, PartitionedPrompt prompt) {
         return expectedParts.cachedPrefixTokens(
                 candidate.engine().incarnation().toString(),
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import org.bergamothoist.core.time.RecentDurations;
 
 /**
  * Learns how long engines take to load weights, and at how many concurrent loads they slow each
@@ -53,7 +54,7 @@
 
     /** Returns the median load time, or empty before the first load. */
     public Optional<Duration> loadTime() {
-        return median(recent.stream().map(Load::duration).toList());
+        return RecentDurations.medianOf(recent.stream().map(Load::duration).toList());
     }
 
     /** Returns the time from an order to the first poll of the engine. */
@@ -103,15 +104,11 @@
                 || below.size() < MINIMUM_COMPARED_LOADS) {
             return false;
         }
-        Duration slow = median(atConcurrency).orElseThrow();
-        Duration fast = median(below).orElseThrow();
+        Duration slow = RecentDurations.medianOf(atConcurrency).orElseThrow();
+        Duration fast = RecentDurations.medianOf(below).orElseThrow();
         return slow.compareTo(multiply(fast, SLOWER_RATIO)) > 0;
     }
 
-    private static Optional<Duration> median(List<Duration> durations) {
-        return durations.stream().sorted().skip(durations.size() / 2).findFirst();
-    }
-
     private static Duration multiply(Duration duration, double factor) {
         return Duration.ofMillis(Math.round(duration.toMillis() * factor));
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/EngineDefinition.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/EngineDefinition.java
@@ -3,7 +3,6 @@
 /**
  * Properties that all model engines of a service have in common, as operators configure them.
  *
- * @param batchSlots requests that an engine runs at once
  * @param cacheTokens capacity in tokens of the memory that running requests and cached prompt parts
  *     share
  * @param bytesPerToken size of one token in that memory, in bytes
@@ -13,11 +12,7 @@
  *     together
  */
 public record EngineDefinition(
-        int batchSlots,
-        long cacheTokens,
-        long bytesPerToken,
-        double linkMegabitsPerSecond,
-        int maximumEventCalls) {
+        long cacheTokens, long bytesPerToken, double linkMegabitsPerSecond, int maximumEventCalls) {
 
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MEGABIT_MILLISECOND = 1_000;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -56,7 +56,7 @@
 
     private String choose(EnginePlacement.OutdatedSince outdatedSince, Set<String> excluded) {
         EnginePlacement.Requirements requirements =
-                new EnginePlacement.Requirements(PROMPT, null, outdatedSince);
+                new EnginePlacement.Requirements(PROMPT, null, outdatedSince, 0.002);
         return placement
                 .choose(engines, requirements, excluded)
                 .map(choice -> choice.target().id())
@@ -167,4 +167,47 @@
     private static Organisation organisation(String name, boolean isolated) {
         return new Organisation(name, List.of(), OptionalInt.empty(), isolated);
     }
+
+    /**
+     * Guards against requests that wait for a slot of the preferred engine while another engine has
+     * free ones: engines of 12 to 128 slots, whose requests end after about 0.3 s.
+     */
+    @ParameterizedTest
+    @CsvSource({"12", "16", "32", "64", "128"})
+    void fullEngineIsAvoidedWhateverItsNumberOfSlots(int slots) {
+        List<RegisteredTarget> sized =
+                engines.stream()
+                        .map(
+                                engine ->
+                                        new RegisteredTarget(
+                                                engine.incarnation(),
+                                                "s",
+                                                engine.address(),
+                                                "a",
+                                                slots,
+                                                false,
+                                                engine.weightVersions()))
+                        .toList();
+        sized.forEach(this::reportPartsAt);
+        for (int request = 0; request < 20; request++) {
+            placement.recordSlotTime("s", Duration.ofMillis(300));
+        }
+        for (int request = 0; request < 3 * slots; request++) {
+            states.find(preferredEngine()).orElseThrow().load().addRequest(0);
+        }
+        EnginePlacement.Requirements requirements =
+                new EnginePlacement.Requirements(PROMPT, null, version -> Optional.empty(), 0.002);
+        EnginePlacement.Choice other =
+                placement.choose(sized, requirements, Set.of()).orElseThrow();
+        assertThat(other.target().id()).isNotEqualTo(preferredEngine());
+        assertThat(other.queueingDelay()).isZero();
+        Set<String> others =
+                Set.copyOf(
+                        engines.stream()
+                                .map(RegisteredTarget::id)
+                                .filter(id -> !id.equals(preferredEngine()))
+                                .toList());
+        assertThat(placement.choose(sized, requirements, others).orElseThrow().queueingDelay())
+                .isBetween(Duration.ofMillis(550), Duration.ofMillis(650));
+    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/MultiDaemonPlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/MultiDaemonPlacementTest.java
@@ -101,7 +101,7 @@
                         20,
                         List.of(new PromptPart("question-" + number, PROMPT_TOKENS)));
         EnginePlacement.Requirements requirements =
-                new EnginePlacement.Requirements(prompt, null, version -> Optional.empty());
+                new EnginePlacement.Requirements(prompt, null, version -> Optional.empty(), 0.002);
         EnginePlacement.Choice choice =
                 placements.get(daemon).choose(engines, requirements, Set.of()).orElseThrow();
         OutstandingWork load = load(daemon, choice.target());
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -29,6 +29,7 @@
     private boolean abandoned;
     private boolean ended;
     private boolean prefillComplete;
+    private Instant firstByteAt;
     private AttemptFailure rejection;
     private String rejectionDetail;
 
@@ -225,6 +226,8 @@
         }
         if (!prefillComplete) {
             completePrefill();
+            firstByteAt = dependencies.clock().instant();
+            dependencies.targetSelector().recordPromptCached(exchange.request(), selection);
             exchange.onFirstByte();
         }
         if (exchange.request().route().kind().isStream()) {
@@ -247,7 +250,13 @@
             return;
         }
         removeFromTargetLoad();
-        targetState().health().onSuccess(dependencies.clock().instant());
+        Instant now = dependencies.clock().instant();
+        targetState().health().onSuccess(now);
+        if (firstByteAt != null) {
+            dependencies
+                    .targetSelector()
+                    .recordCompletion(selection, Duration.between(firstByteAt, now));
+        }
         exchange.relay().complete();
         exchange.onComplete();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
@@ -102,7 +102,8 @@
                         version ->
                                 clusterView
                                         .desiredWeightVersions()
-                                        .outdatedSince(prompt.get().model(), version));
+                                        .outdatedSince(prompt.get().model(), version),
+                        engineDefinition.get().transferMillisecondsPerToken());
         return enginePlacement
                 .choose(targets, requirements, triedTargets)
                 .map(
@@ -115,6 +116,49 @@
                                         lastEventId));
     }
 
+    /**
+     * Records that an engine has cached the shared parts of a request's prompt, since it has sent
+     * the first bytes of its answer. That is known sooner than from the engine's events.
+     */
+    public void recordPromptCached(RequestContext request, Selection selection) {
+        Optional<PartitionedPrompt> prompt = request.head().prompt();
+        ForwardingMetadata sent = selection.forwarding();
+        boolean sameWeights =
+                sent.weightVersion().isPresent()
+                        && sent.weightVersion().equals(selection.state().weightVersion());
+        if (prompt.isEmpty() || sent.scope().isEmpty() || !sameWeights) {
+            return;
+        }
+        request.configuration()
+                .service(selection.target().service())
+                .flatMap(ServiceDefinition::engine)
+                .ifPresent(
+                        definition ->
+                                clusterView
+                                        .reportedParts()
+                                        .add(
+                                                selection.target().incarnation().toString(),
+                                                sent.scope().get(),
+                                                prompt.get().sharedParts(),
+                                                definition.cacheTokens()));
+    }
+
+    /**
+     * Records how long a completed request of an engine occupied a slot.
+     *
+     * @param sinceFirstByte time from the first byte of the answer to its end
+     */
+    public void recordCompletion(Selection selection, Duration sinceFirstByte) {
+        if (selection.forwarding().scope().isEmpty()) {
+            return;
+        }
+        double prefillMilliseconds =
+                selection.prefillTokens() / enginePlacement.prefillTokensPerMillisecond();
+        enginePlacement.recordSlotTime(
+                selection.target().service(),
+                sinceFirstByte.plusMillis(Math.round(prefillMilliseconds)));
+    }
+
     private Selection serviceSelection(
             RequestContext request,
             RegisteredTarget target,
