End attempts at targets that send bytes without end or trickle, and answer each request once

Interim answers without end were read until the deadline; bytes of an event without end filled the memory (256 KiB is now the bound) and were scanned again with each piece; the body of a refusal or of another request's answer was skipped until the deadline. A stream's silence was measured by bytes, so that a stalled one that sent a byte now and then lasted until the route's timeout; a sound one with a pause of three gaps was moved. A caller refused before its body had arrived got a second response when the rest was malformed or late. Texts of exceptions went into JSON unescaped. Change: bounds on what is skipped and on one event; silence of a started stream is the time without a complete event, five times the route's stated gap, whatever else its target sends; a request that has had its response gets no other, its connection closes instead.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/Route.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/Route.java
@@ -11,6 +11,8 @@
  * @param timeout maximum duration of a request
  * @param latencyObjective time within which the response, or the first event of a stream, should
  *     arrive
+ * @param longestEventGap longest time between events of a stream that is still on time; zero if it
+ *     is not stated
  * @param priority priority of requests, 0 is the most urgent
  * @param services services among which the requests are split by weight
  * @param maximumAttempts maximum number of targets that may run one request
@@ -23,6 +25,7 @@
         RequestKind kind,
         Duration timeout,
         Duration latencyObjective,
+        Duration longestEventGap,
         int priority,
         List<WeightedService> services,
         int maximumAttempts,
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AdmissionPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/AdmissionPolicyTest.java
@@ -21,6 +21,7 @@
                     RequestKind.STREAM,
                     Duration.ofSeconds(6),
                     Duration.ofMillis(600),
+                    Duration.ZERO,
                     1,
                     List.of(new WeightedService("s", 1)),
                     1,
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/RetryPolicyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/relay/RetryPolicyTest.java
@@ -26,6 +26,7 @@
                 kind,
                 AMPLE_TIME,
                 AMPLE_TIME,
+                Duration.ZERO,
                 0,
                 List.of(new WeightedService("s", 1)),
                 attempts,
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
@@ -19,6 +19,7 @@
                 RequestKind.IDEMPOTENT,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
+                Duration.ZERO,
                 0,
                 List.of(new WeightedService("one", 90), new WeightedService("two", 10)),
                 1,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -15,6 +15,9 @@
 /** One attempt to run a request on one target. Confined to the event loop. */
 final class Attempt implements AnswerListener {
 
+    /** Size of a rejected response's body, in bytes, up to which its connection is kept. */
+    private static final int MAXIMUM_DISCARDED_BYTES = 64 << 10;
+
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -30,6 +33,7 @@
     private boolean ended;
     private boolean prefillComplete;
     private Instant firstByteAt;
+    private long discardedBytes;
     private AttemptFailure rejection;
     private String rejectionDetail;
 
@@ -220,8 +224,8 @@
 
     @Override
     public void onContent(ByteBuf content) {
-        targetState().recordBytesReceived(dependencies.clock().instant());
         if (rejection != null) {
+            discard(content);
             return;
         }
         if (!prefillComplete) {
@@ -230,15 +234,31 @@
             dependencies.targetSelector().recordPromptCached(exchange.request(), selection);
             exchange.onFirstByte();
         }
-        if (exchange.request().route().kind().isStream()) {
-            exchange.restartSilenceTimer();
+        if (exchange.relay().relayContent(content)) {
+            targetState().recordBytesReceived(dependencies.clock().instant());
+            if (exchange.request().route().kind().isStream()) {
+                exchange.restartSilenceTimer();
+            }
+        }
+        if (exchange.relay().hasOversizedEvent()) {
+            connection.abort();
+            fail(AttemptFailure.INVALID_ANSWER, "an event of the stream has no end");
+            return;
         }
-        exchange.relay().relayContent(content);
         if (!exchange.relay().isWritable()) {
             connection.setReading(false);
         }
     }
 
+    /** Skips the body of a rejected response; ends the attempt if the body is too long to skip. */
+    private void discard(ByteBuf content) {
+        discardedBytes += content.readableBytes();
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            connection.abort();
+            fail(rejection, rejectionDetail);
+        }
+    }
+
     @Override
     public void onComplete() {
         if (rejection != null) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -57,6 +57,10 @@
     private boolean receivingRequest;
     private boolean responsePending;
     private boolean closeAfterResponse;
+
+    /** Whether the request that is still being received has had its response. */
+    private boolean responseSent;
+
     private Instant requestFirstByteAt;
     private Instant lastActiveAt;
 
@@ -163,6 +167,10 @@
                         String.valueOf(channel.remoteAddress()),
                         () -> reason,
                         String.valueOf(status));
+        if (responseSent) {
+            channel.close();
+            return;
+        }
         if (responsePending) {
             if (exchange != null) {
                 exchange.onCallerDisconnected();
@@ -187,6 +195,7 @@
         exchange = null;
         receivingRequest = true;
         responsePending = true;
+        responseSent = false;
         RequestHead requestHead;
         try {
             requestHead = dependencies.dialect().readRequest(head);
@@ -220,6 +229,7 @@
             return;
         }
         receivingRequest = false;
+        responseSent = false;
         if (collectingBody) {
             ByteBuf complete = body;
             body = null;
@@ -264,6 +274,7 @@
     @Override
     public void finish() {
         responsePending = false;
+        responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         if (closeAfterResponse) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ErrorResponseSender.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ErrorResponseSender.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.caller;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -37,7 +38,12 @@
     }
 
     private static String body(ErrorCode code, String reason) {
-        return "{\"code\":\"" + code + "\",\"reason\":\"" + reason + "\"}";
+        return "{\"code\":\"" + code + "\",\"reason\":\"" + escape(reason) + "\"}";
+    }
+
+    /** Escapes text that may come from exceptions, for a JSON string. */
+    private static String escape(String text) {
+        return new String(JsonStringEncoder.getInstance().quoteAsString(text));
     }
 
     private static String seconds(Duration delay) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -45,6 +45,12 @@
      */
     private static final int MAXIMUM_SILENCE_IN_OBJECTIVES = 2;
 
+    /**
+     * Time without an event after which a stream is continued at another target, as a multiple of
+     * the route's longest gap between events. Callers wait at least eight gaps.
+     */
+    private static final int MAXIMUM_SILENCE_IN_EVENT_GAPS = 5;
+
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -233,9 +239,14 @@
         if (!request.route().kind().isRetryable()) {
             return;
         }
-        Duration maximumSilence =
-                request.route().latencyObjective().multipliedBy(MAXIMUM_SILENCE_IN_OBJECTIVES);
-        silenceTimer = dependencies.scheduler().schedule(maximumSilence, this::onSilenceTimeout);
+        silenceTimer = dependencies.scheduler().schedule(maximumSilence(), this::onSilenceTimeout);
+    }
+
+    private Duration maximumSilence() {
+        Duration eventGap = request.route().longestEventGap();
+        return relay.hasRelayedEvents() && !eventGap.isZero()
+                ? eventGap.multipliedBy(MAXIMUM_SILENCE_IN_EVENT_GAPS)
+                : request.route().latencyObjective().multipliedBy(MAXIMUM_SILENCE_IN_OBJECTIVES);
     }
 
     void stopSilenceTimer() {
@@ -247,7 +258,11 @@
             return;
         }
         Duration objective = request.route().latencyObjective();
-        if (request.route().kind().isStream() && attempt.hasTargetSentBytesWithin(objective)) {
+        boolean queued =
+                request.route().kind().isStream()
+                        && !relay.hasRelayedEvents()
+                        && attempt.hasTargetSentBytesWithin(objective);
+        if (queued) {
             restartSilenceTimer();
             return;
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -24,6 +24,7 @@
     private ServerSentEventBuffer events;
     private int status;
     private long bytes;
+    private boolean eventsRelayed;
 
     ResponseRelay(WireDialect dialect, CallerResponseWriter caller) {
         this.dialect = dialect;
@@ -61,18 +62,36 @@
         return events != null;
     }
 
-    void relayContent(ByteBuf content) {
+    /**
+     * Relays bytes of the response; of a resumable stream, the events that they complete.
+     *
+     * @return whether anything was relayed
+     */
+    boolean relayContent(ByteBuf content) {
         bytes += content.readableBytes();
         if (events == null) {
             caller.sendContent(content.retain());
-            return;
+            return true;
         }
         ByteBuf complete = events.add(content);
-        if (complete.isReadable()) {
+        boolean relayed = complete.isReadable();
+        if (relayed) {
+            eventsRelayed = true;
             caller.sendContent(complete);
         } else {
             complete.release();
         }
+        return relayed;
+    }
+
+    /** Returns whether the caller has received events of a resumable stream. */
+    boolean hasRelayedEvents() {
+        return eventsRelayed;
+    }
+
+    /** Returns whether the target has sent more bytes without an event's end than events have. */
+    boolean hasOversizedEvent() {
+        return events != null && events.isOversized();
     }
 
     /** Returns whether the target has sent only part of an event. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ServerSentEventBuffer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ServerSentEventBuffer.java
@@ -11,6 +11,9 @@
  */
 final class ServerSentEventBuffer {
 
+    /** Size of one event, in bytes, beyond which the bytes are taken for no event stream. */
+    static final int MAXIMUM_EVENT_BYTES = 256 << 10;
+
     private static final String ID_FIELD = "id:";
 
     private final ByteBuf pending = Unpooled.buffer();
@@ -64,6 +67,11 @@
         pending.clear();
     }
 
+    /** Returns whether the incomplete event is larger than any event may be. */
+    boolean isOversized() {
+        return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
+    }
+
     /** Returns whether the buffer holds an incomplete event. */
     boolean hasIncompleteEvent() {
         return pending.isReadable();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -29,6 +29,12 @@
 
     private static final Pattern TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
+    /** Size of an answer to another request, in bytes, up to which it is skipped. */
+    private static final int MAXIMUM_IGNORED_BYTES = 1 << 20;
+
+    /** Number of interim answers to one request; more are taken for a fault. */
+    private static final int MAXIMUM_INTERIM_ANSWERS = 16;
+
     private enum State {
         IDLE,
         BUSY,
@@ -47,6 +53,8 @@
     private ChannelFuture requestWritten;
     private boolean interim;
     private boolean ignoring;
+    private int interimAnswers;
+    private long ignoredBytes;
     private boolean reusable = true;
     private boolean broken;
     private Instant usableUntil = Instant.MAX;
@@ -75,6 +83,8 @@
     public void send(HttpRequest head, ByteBuf body, AnswerListener receiver) {
         listener = receiver;
         state = State.BUSY;
+        interimAnswers = 0;
+        ignoredBytes = 0;
         decoder.expect(head.method());
         channel.write(head);
         requestWritten = channel.writeAndFlush(new DefaultLastHttpContent(body));
@@ -126,6 +136,10 @@
         }
         interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (interim) {
+            interimAnswers++;
+            if (interimAnswers > MAXIMUM_INTERIM_ANSWERS) {
+                fail(AnswerListener.Failure.INVALID_ANSWER, "interim answers without end");
+            }
             return;
         }
         if (!HttpUtil.isKeepAlive(head) || !BodyFraming.isSelfDelimited(head)) {
@@ -155,6 +169,15 @@
             return;
         }
         boolean relayed = !interim && !ignoring;
+        if (ignoring) {
+            ignoredBytes += content.content().readableBytes();
+            if (ignoredBytes > MAXIMUM_IGNORED_BYTES) {
+                fail(
+                        AnswerListener.Failure.INVALID_ANSWER,
+                        "answer to another request without end");
+                return;
+            }
+        }
         if (relayed && content.content().isReadable()) {
             listener.onContent(content.content());
         }
