Let restarted daemons read cache events at once, and standby daemons none

Cause: a starting daemon polled no events for five seconds. All daemons read the store as often as two-second limits need, also where the limits are four seconds. Change: work is divided by peer addresses, which a starting daemon reads from the store; standby daemons have no part. The paces of the feeds follow from the configured limits (unchanged for two seconds).

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EventPollAssignment.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EventPollAssignment.java
@@ -20,7 +20,8 @@
     /**
      * Returns whether a daemon reads the events of a target.
      *
-     * @param daemons names of the daemons that use targets, the given one included
+     * @param daemon peer address of the daemon
+     * @param daemons peer addresses of the daemons that use targets
      * @param maximumCalls calls for events that the target serves at once
      */
     public static boolean isAssigned(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -76,13 +76,19 @@
     /** Time for a connection to the store or another daemon. */
     private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-    /** A change of the configuration has to be in force within seconds. */
-    private static final FeedFollower.PollSettings OPERATOR_PACE =
-            new FeedFollower.PollSettings(Duration.ofMillis(20), Duration.ofMillis(1_400));
+    /** Pause between reads of the operators' feed. */
+    private static final Duration OPERATOR_PAUSE = Duration.ofMillis(20);
 
-    /** A leaving target gets no new work after two seconds; most reads return at once. */
-    private static final FeedFollower.PollSettings TARGETS_PACE =
-            new FeedFollower.PollSettings(Duration.ofMillis(600), Duration.ofMillis(700));
+    /**
+     * Part of the time for applying a configuration that a read waits at the store at most, since a
+     * connection may have gone silent meanwhile.
+     */
+    private static final double OPERATOR_WAIT_SHARE = 0.7;
+
+    /** Parts of the time for leaving targets that pass between reads; most return at once. */
+    private static final double TARGETS_PAUSE_SHARE = 0.3;
+
+    private static final double TARGETS_WAIT_SHARE = 0.35;
 
     /** Daemons find each other by their reports; the feed is only for those that start. */
     private static final FeedFollower.PollSettings DAEMONS_PACE =
@@ -165,8 +171,8 @@
         this.store = platform.store(settings.store(), controlCaller);
         this.updater = new ClusterViewUpdater(clusterView, platform.decoder(), targets, clock, log);
         FeedMirror mirror = new FeedMirror(updater);
-        this.operatorFeed = follower(Feed.OPERATOR, OPERATOR_PACE, mirror);
-        this.targetsFeed = follower(Feed.TARGETS, TARGETS_PACE, mirror);
+        this.operatorFeed = follower(Feed.OPERATOR, operatorPace(), mirror);
+        this.targetsFeed = follower(Feed.TARGETS, targetsPace(), mirror);
         this.daemonsFeed = follower(Feed.DAEMONS, DAEMONS_PACE, mirror);
 
         this.callers =
@@ -216,8 +222,8 @@
                 new CacheEventPollers(
                         clusterView,
                         platform.cacheEvents(controlCaller),
-                        self.name(),
-                        () -> callerDaemons.isStarting() ? Set.of() : callerDaemons.names(),
+                        settings.peers(),
+                        callerDaemons::sharingPeers,
                         scheduler,
                         log);
         this.rollout = createRollout(platform.engineOrders(controlCaller));
@@ -296,6 +302,22 @@
                 log);
     }
 
+    private FeedFollower.PollSettings operatorPace() {
+        return new FeedFollower.PollSettings(
+                OPERATOR_PAUSE,
+                part(settings.configurationApplyMilliseconds(), OPERATOR_WAIT_SHARE));
+    }
+
+    private FeedFollower.PollSettings targetsPace() {
+        return new FeedFollower.PollSettings(
+                part(settings.drainMilliseconds(), TARGETS_PAUSE_SHARE),
+                part(settings.drainMilliseconds(), TARGETS_WAIT_SHARE));
+    }
+
+    private static Duration part(long milliseconds, double share) {
+        return Duration.ofMillis(Math.round(milliseconds * share));
+    }
+
     private FeedFollower follower(Feed feed, FeedFollower.PollSettings pace, FeedMirror mirror) {
         return new FeedFollower(feed, store, pace, scheduler, random, new FeedObserver(mirror));
     }
@@ -492,8 +514,7 @@
     }
 
     private Duration grace(double share) {
-        double milliseconds = settings.graceSeconds() * MILLISECONDS_PER_SECOND * share;
-        return Duration.ofMillis(Math.round(milliseconds));
+        return part(Math.round(settings.graceSeconds() * MILLISECONDS_PER_SECOND), share);
     }
 
     private void finish(Instant signalledAt) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param retryShare share of requests that may be sent once more, over all daemons
  * @param retrySlack retries allowed at once beside that share, over all daemons
  * @param longestOutdatedMilliseconds time after which no request may begin on outdated weights
+ * @param configurationApplyMilliseconds time after which a changed configuration has to be in force
+ * @param drainMilliseconds time after which a leaving target gets no requests
  * @param processorShare share of its cores that the VM may use
  * @param processorCores number of the VM's cores, or their speed relative to one core
  */
@@ -47,6 +49,8 @@
         @JsonProperty("retry_share") double retryShare,
         @JsonProperty("retry_slack") int retrySlack,
         @JsonProperty("longest_outdated_milliseconds") long longestOutdatedMilliseconds,
+        @JsonProperty("configuration_apply_milliseconds") long configurationApplyMilliseconds,
+        @JsonProperty("drain_milliseconds") long drainMilliseconds,
         @JsonProperty("processor_share") double processorShare,
         @JsonProperty("processor_cores") double processorCores) {
 
@@ -102,6 +106,12 @@
         if (retrySlack < 0) {
             faults.add("retry_slack: must not be below 0");
         }
+        if (configurationApplyMilliseconds <= 0) {
+            faults.add("configuration_apply_milliseconds: must be above 0");
+        }
+        if (drainMilliseconds <= 0) {
+            faults.add("drain_milliseconds: must be above 0");
+        }
         if (processorShare <= 0) {
             faults.add("processor_share: must be above 0");
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPollers.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPollers.java
@@ -42,8 +42,9 @@
     /**
      * Creates pollers that are not started yet.
      *
-     * @param self name of this daemon
-     * @param pollingDaemons returns the names of the daemons among which the polls are divided
+     * @param self peer address of this daemon
+     * @param pollingDaemons returns the peer addresses of the daemons among which the polls are
+     *     divided
      */
     public CacheEventPollers(
             ClusterView clusterView,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CallerDaemons.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CallerDaemons.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -89,17 +90,20 @@
      * reports may be missing, that is every known address.
      */
     public int count() {
-        int known = directory.reportReceivers().size() + 1;
-        return isStarting() ? known : Math.max(1, assigned().size());
+        return Math.max(1, sharingPeers().size());
     }
 
-    /** Returns the names of the daemons that take callers' requests, this one included. */
-    public Set<String> names() {
-        Set<String> names =
-                assigned().stream()
-                        .map(CallerAssignment.Candidate::name)
-                        .collect(Collectors.toSet());
-        names.add(self.name());
-        return names;
+    /**
+     * Returns the peer addresses of the daemons among which work for the whole fleet is divided.
+     * While reports may be missing, that is every known address, so that a restarted daemon takes
+     * its part at once.
+     */
+    public Set<String> sharingPeers() {
+        if (!isStarting()) {
+            return peerAddresses();
+        }
+        Set<String> known = new HashSet<>(directory.reportReceivers());
+        known.add(self.peerAddress());
+        return known;
     }
 }
