Send no order after the lease's window, and date versions by the last uninterrupted read

Cause: an order was checked against the lease's window before its connection opened, which may take 700 ms, or longer in a frozen process, so that it could follow the next holder's first order. Change: an order carries the time within which it has to be sent, checked once connected. FeedFreshness dates records after an interruption by the last read before it. The assumed age at the start is half of the configured limit. Measured: HttpCallerTest (frozen while connecting: nothing is sent; fails without the check), DesiredWeightVersionsTest, OrderLeaseTest.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -78,6 +78,12 @@
         return usable ? OptionalLong.of(fencingNumber) : OptionalLong.empty();
     }
 
+    /** Returns the time for which orders may still be sent without another renewal. */
+    public Duration usableFor() {
+        Duration left = Duration.between(clock.instant(), renewedAt.plus(ORDER_WINDOW));
+        return fencingNumber > 0 && !left.isNegative() ? left : Duration.ZERO;
+    }
+
     /** Returns whether this daemon was the last holder, as far as it knows. */
     public boolean isHolder() {
         return fencingNumber > 0;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
@@ -19,23 +19,33 @@
      */
     private static final Duration STARTUP_PERIOD = Duration.ofSeconds(4);
 
-    /**
-     * Assumed age of such a version: about half of the time that a rollout to all engines takes.
-     */
-    private static final Duration ASSUMED_AGE = Duration.ofSeconds(8);
-
     private final InstantSource clock;
+    private final Duration assumedAge;
     private final Instant startedAt;
     private final Map<String, TreeMap<Integer, Instant>> receivedAtByModel = new HashMap<>();
 
-    /** Creates an empty set of versions. */
-    public DesiredWeightVersions(InstantSource clock) {
+    /**
+     * Creates an empty set of versions.
+     *
+     * @param assumedAge assumed age of versions that are received right after the start
+     */
+    public DesiredWeightVersions(InstantSource clock, Duration assumedAge) {
         this.clock = clock;
+        this.assumedAge = assumedAge;
         this.startedAt = clock.instant();
     }
 
-    /** Adds a version if it is newer than the known ones of its model; returns whether it is. */
+    /** Adds a version that was requested just now, like {@link #add(String, int, Instant)}. */
     public boolean add(String model, int version) {
+        return add(model, version, clock.instant());
+    }
+
+    /**
+     * Adds a version if it is newer than the known ones of its model; returns whether it is.
+     *
+     * @param requestedSince earliest time at which it can have been requested
+     */
+    public boolean add(String model, int version, Instant requestedSince) {
         TreeMap<Integer, Instant> known =
                 receivedAtByModel.computeIfAbsent(model, key -> new TreeMap<>());
         if (!known.isEmpty() && known.lastKey() >= version) {
@@ -43,7 +53,7 @@
         }
         Instant now = clock.instant();
         boolean requestedBeforeStart = now.isBefore(startedAt.plus(STARTUP_PERIOD));
-        known.put(version, requestedBeforeStart ? now.minus(ASSUMED_AGE) : now);
+        known.put(version, requestedBeforeStart ? now.minus(assumedAge) : requestedSince);
         return true;
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
@@ -74,6 +74,16 @@
         assertThat(first.usableFencingNumber()).hasValue(1);
     }
 
+    /** Guards against an order that is sent after the window because its connection opens late. */
+    @Test
+    void remainingTimeEndsWithTheOrderWindow() {
+        run(first, 200);
+        assertThat(first.usableFor()).isBetween(Duration.ofMillis(1), OrderLease.ORDER_WINDOW);
+        time.advance(OrderLease.ORDER_WINDOW);
+        assertThat(first.usableFor()).isZero();
+        assertThat(second.usableFor()).isZero();
+    }
+
     @Test
     void renewsWithSameFencingNumber() {
         run(first, 5_000);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.feed.Feed;
 import org.bergamothoist.core.feed.FeedFollower;
+import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.fleet.ServicePlacement;
@@ -90,6 +91,12 @@
 
     private static final double TARGETS_WAIT_SHARE = 0.35;
 
+    /** Time that a read takes longer than its wait at the store without being interrupted. */
+    private static final Duration READ_TOLERANCE = Duration.ofMillis(500);
+
+    /** Assumed age of versions read at the start, as part of the longest time on old weights. */
+    private static final double ASSUMED_AGE_SHARE = 0.5;
+
     /** Daemons find each other by their reports; the feed is only for those that start. */
     private static final FeedFollower.PollSettings DAEMONS_PACE =
             new FeedFollower.PollSettings(Duration.ofSeconds(10), Duration.ZERO);
@@ -130,6 +137,7 @@
     private final DaemonId self;
     private final ClusterView clusterView;
     private final CallerDaemons callerDaemons;
+    private final FeedFreshness operatorFreshness;
     private final PlatformAdapter.Store store;
     private final ClusterViewUpdater updater;
     private final FeedFollower operatorFeed;
@@ -162,14 +170,18 @@
         this.metrics = new MetricRegistry();
         this.log = new StructuredDecisionLog(settings.daemon(), InstantSource.system(), metrics);
         this.self = new DaemonId(settings.daemon(), clock.millis());
-        this.clusterView = ClusterView.empty(self, clock);
+        this.clusterView = ClusterView.empty(self, clock, assumedVersionAge());
+        this.operatorFreshness =
+                new FeedFreshness(operatorPace().maximumWait().plus(READ_TOLERANCE), clock);
         this.callerDaemons = createCallerDaemons();
 
         ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
         HttpCaller controlCaller =
                 new HttpCaller(pool("control", CONTROL_CONNECT_TIMEOUT), eventLoop);
         this.store = platform.store(settings.store(), controlCaller);
-        this.updater = new ClusterViewUpdater(clusterView, platform.decoder(), targets, clock, log);
+        this.updater =
+                new ClusterViewUpdater(
+                        clusterView, platform.decoder(), targets, operatorFreshness, clock, log);
         FeedMirror mirror = new FeedMirror(updater);
         this.operatorFeed = follower(Feed.OPERATOR, operatorPace(), mirror);
         this.targetsFeed = follower(Feed.TARGETS, targetsPace(), mirror);
@@ -314,6 +326,10 @@
                 part(settings.drainMilliseconds(), TARGETS_WAIT_SHARE));
     }
 
+    private Duration assumedVersionAge() {
+        return part(settings.longestOutdatedMilliseconds(), ASSUMED_AGE_SHARE);
+    }
+
     private static Duration part(long milliseconds, double share) {
         return Duration.ofMillis(Math.round(milliseconds * share));
     }
@@ -543,11 +559,19 @@
         @Override
         public void onListing(Feed feed, FeedSource.Listing listing) {
             mirror.apply(feed, listing);
+            recordRead(feed);
         }
 
         @Override
         public void onPage(Feed feed, FeedSource.Page page) {
             mirror.apply(feed, page.records());
+            recordRead(feed);
+        }
+
+        private void recordRead(Feed feed) {
+            if (feed == Feed.OPERATOR) {
+                operatorFreshness.recordRead();
+            }
         }
 
         @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -61,7 +61,17 @@
      * call may have taken effect.
      */
     public CompletionStage<HttpAnswer> call(Call call) {
-        Pending pending = new Pending(call);
+        return call(call, call.timeout());
+    }
+
+    /**
+     * Makes a call like {@link #call(Call)}, unless its connection opens too late.
+     *
+     * @param sendWithin time from now after which the call is no longer sent, because the right to
+     *     make it may have ended
+     */
+    public CompletionStage<HttpAnswer> call(Call call, Duration sendWithin) {
+        Pending pending = new Pending(call, sendWithin);
         pool.acquire(call.address(), pending::connected);
         return pending.answer;
     }
@@ -77,6 +87,7 @@
     private final class Pending implements AnswerListener {
 
         private final Call call;
+        private final long sendBefore;
         private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final io.netty.util.concurrent.Future<?> timer;
@@ -84,8 +95,9 @@
         private int status;
         private HttpHeaders headers;
 
-        private Pending(Call call) {
+        private Pending(Call call, Duration sendWithin) {
             this.call = call;
+            this.sendBefore = System.nanoTime() + sendWithin.toNanos();
             this.timer =
                     eventLoop.schedule(
                             this::timeOut, call.timeout().toMillis(), TimeUnit.MILLISECONDS);
@@ -104,6 +116,9 @@
                 return;
             }
             connection = opened;
+            if (System.nanoTime() - sendBefore > 0) {
+                fail("not sent: the connection opened too late");
+            }
             if (answer.isDone()) {
                 opened.abort();
                 return;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/EngineOrderClient.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/EngineOrderClient.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.control;
 
+import java.time.Duration;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.rollout.WeightOrder;
@@ -43,9 +44,15 @@
      * @param fencingNumber fencing number of that lease; engines refuse orders with a lower number
      *     than they have seen
      * @param expectedOrders number of orders that the engine is expected to have accepted so far
+     * @param sendWithin time after which the order must not be sent any more, because another
+     *     daemon may take over the lease
      */
     CompletionStage<OrderResult> order(
-            WeightOrder order, String holder, long fencingNumber, long expectedOrders);
+            WeightOrder order,
+            String holder,
+            long fencingNumber,
+            long expectedOrders,
+            Duration sendWithin);
 
     /** Reads the state of an engine; completes exceptionally if the call fails. */
     CompletionStage<EngineReport> report(RegisteredTarget engine, String model);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -319,7 +319,7 @@
         }
         long number = fencingNumber.getAsLong();
         orderClient
-                .order(order, self, number, current.acceptedOrders)
+                .order(order, self, number, current.acceptedOrders, lease.usableFor())
                 .whenComplete(
                         (result, failure) -> {
                             log.write(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterView.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterView.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.state;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetRegistry;
@@ -35,14 +36,20 @@
         CacheStoreView cacheStore,
         DaemonDirectory daemons) {
 
-    /** Creates an empty view. */
-    public static ClusterView empty(DaemonId self, InstantSource clock) {
+    /**
+     * Creates an empty view.
+     *
+     * @param assumedVersionAge assumed age of weight versions that are received right after the
+     *     start
+     */
+    public static ClusterView empty(
+            DaemonId self, InstantSource clock, Duration assumedVersionAge) {
         CachedPartIndex reportedParts = new CachedPartIndex();
         return new ClusterView(
                 new ConfigurationHolder(),
                 new TargetRegistry(clock),
                 new TargetStateTable(),
-                new DesiredWeightVersions(clock),
+                new DesiredWeightVersions(clock, assumedVersionAge),
                 reportedParts,
                 new CachedPartIndex(),
                 new CacheStoreView(reportedParts, clock),
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -1,11 +1,14 @@
 package org.bergamothoist.gateway.state;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.feed.Feed;
+import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
 import org.bergamothoist.core.feed.FeedRecord;
 import org.bergamothoist.core.fleet.RegisteredTarget;
@@ -22,6 +25,7 @@
     private final ClusterView clusterView;
     private final RecordDecoder decoder;
     private final ConnectionPool targetConnections;
+    private final FeedFreshness operatorFreshness;
     private final InstantSource clock;
     private final DecisionLog log;
 
@@ -30,16 +34,19 @@
      *
      * @param targetConnections pool whose idle connections to restarted and removed targets are
      *     closed
+     * @param operatorFreshness bounds the age of operators' records
      */
     public ClusterViewUpdater(
             ClusterView clusterView,
             RecordDecoder decoder,
             ConnectionPool targetConnections,
+            FeedFreshness operatorFreshness,
             InstantSource clock,
             DecisionLog log) {
         this.clusterView = clusterView;
         this.decoder = decoder;
         this.targetConnections = targetConnections;
+        this.operatorFreshness = operatorFreshness;
         this.clock = clock;
         this.log = log;
     }
@@ -99,11 +106,18 @@
     }
 
     private void addDesiredWeights(RecordDecoder.DesiredWeights weights, FeedRecord record) {
-        if (clusterView.desiredWeightVersions().add(weights.model(), weights.version())) {
+        Instant requestedSince = operatorFreshness.earliestPublication();
+        if (clusterView
+                .desiredWeightVersions()
+                .add(weights.model(), weights.version(), requestedSince)) {
             log.write(
                     DecisionKind.WEIGHTS_NAMED,
                     weights.model(),
-                    () -> "offset=" + record.offset(),
+                    () ->
+                            "offset="
+                                    + record.offset()
+                                    + " age-at-most="
+                                    + Duration.between(requestedSince, clock.instant()).toMillis(),
                     "version " + weights.version());
         }
     }
--- /dev/null
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -0,0 +1,105 @@
+package org.bergamothoist.gateway.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests calls whose right to be made ends while their connection opens. */
+class HttpCallerTest {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+    private MultiThreadIoEventLoopGroup group;
+    private EventLoop eventLoop;
+    private ServerSocket server;
+    private HttpCaller caller;
+
+    @BeforeEach
+    void create() throws IOException {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        eventLoop = (EventLoop) group.next();
+        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        ConnectionPool pool =
+                new ConnectionPool(
+                        "test",
+                        eventLoop,
+                        InstantSource.system(),
+                        new ConnectionPool.Settings(TIMEOUT, TIMEOUT, Duration.ZERO),
+                        new MetricRegistry());
+        caller = new HttpCaller(pool, eventLoop);
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<HttpAnswer> call(Duration sendWithin) {
+        String address = "127.0.0.1:" + server.getLocalPort();
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        eventLoop.execute(
+                () ->
+                        caller.call(HttpCaller.Call.get(address, "/", TIMEOUT), sendWithin)
+                                .whenComplete(
+                                        (result, failure) -> {
+                                            if (failure == null) {
+                                                answer.complete(result);
+                                            } else {
+                                                answer.completeExceptionally(failure);
+                                            }
+                                        }));
+        return answer;
+    }
+
+    /** Guards against an order that is sent by a daemon that froze while it connected. */
+    @Test
+    void callIsNotSentOnceItsTimeHasPassed() throws Exception {
+        CountDownLatch thawed = new CountDownLatch(1);
+        CompletableFuture<HttpAnswer> answer = call(Duration.ofMillis(50));
+        eventLoop.execute(
+                () -> {
+                    try {
+                        thawed.await();
+                    } catch (InterruptedException exception) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+        Thread.sleep(200);
+        thawed.countDown();
+        assertThatThrownBy(answer::join)
+                .isInstanceOf(CompletionException.class)
+                .hasMessageContaining("not sent");
+        try (Socket accepted = server.accept()) {
+            assertThat(accepted.getInputStream().read()).isNegative();
+        }
+    }
+
+    @Test
+    void callIsSentWithinItsTime() throws Exception {
+        CompletableFuture<HttpAnswer> answer = call(TIMEOUT);
+        try (Socket accepted = server.accept()) {
+            assertThat(accepted.getInputStream().read()).isEqualTo('G');
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+            assertThat(answer.join().status()).isEqualTo(200);
+        }
+    }
+}
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -36,7 +36,8 @@
     private static final String MODEL = "m";
 
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
-    private final ClusterView clusterView = ClusterView.empty(new DaemonId("daemon-1", 1), time);
+    private final ClusterView clusterView =
+            ClusterView.empty(new DaemonId("daemon-1", 1), time, Duration.ZERO);
     private final Map<String, FakeEngine> engines = new HashMap<>();
     private final Map<String, Instant> migratedAt = new HashMap<>();
     private final StreamMigrator migrator =
@@ -81,7 +82,12 @@
 
         @Override
         public CompletionStage<OrderResult> order(
-                WeightOrder order, String holder, long fencingNumber, long expectedOrders) {
+                WeightOrder order,
+                String holder,
+                long fencingNumber,
+                long expectedOrders,
+                Duration sendWithin) {
+            assertThat(sendWithin).isPositive();
             FakeEngine engine = engines.get(order.engine().id());
             if (engine.isLoading(time.instant()) || engine.acceptedOrders != expectedOrders) {
                 return CompletableFuture.completedFuture(OrderResult.CONFLICT);
