Date versions by relayed reads and outages of all, and learn only from accepted loads

Cause: found on reading the change again. A daemon cut from the store gets new records from other daemons within 0.3 s, but dated them by its own last read, up to the length of the cut; after an outage for all daemons versions would have been dated before they could be acknowledged. An order that an engine already holds counted as a very short load. Change: relayed reads count as reads; while other daemons are alive and none reaches the store, no record is missed; only accepted orders enter the estimate. The feeds' paces moved to FeedPaces.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -77,30 +77,6 @@
     /** Time for a connection to the store or another daemon. */
     private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-    /** Pause between reads of the operators' feed. */
-    private static final Duration OPERATOR_PAUSE = Duration.ofMillis(20);
-
-    /**
-     * Part of the time for applying a configuration that a read waits at the store at most, since a
-     * connection may have gone silent meanwhile.
-     */
-    private static final double OPERATOR_WAIT_SHARE = 0.7;
-
-    /** Parts of the time for leaving targets that pass between reads; most return at once. */
-    private static final double TARGETS_PAUSE_SHARE = 0.3;
-
-    private static final double TARGETS_WAIT_SHARE = 0.35;
-
-    /** Time that a read takes longer than its wait at the store without being interrupted. */
-    private static final Duration READ_TOLERANCE = Duration.ofMillis(500);
-
-    /** Assumed age of versions read at the start, as part of the longest time on old weights. */
-    private static final double ASSUMED_AGE_SHARE = 0.5;
-
-    /** Daemons find each other by their reports; the feed is only for those that start. */
-    private static final FeedFollower.PollSettings DAEMONS_PACE =
-            new FeedFollower.PollSettings(Duration.ofSeconds(10), Duration.ZERO);
-
     /** Interval between checks of lapsed registrations. */
     private static final Duration LAPSE_CHECK = Duration.ofMillis(250);
 
@@ -170,9 +146,9 @@
         this.metrics = new MetricRegistry();
         this.log = new StructuredDecisionLog(settings.daemon(), InstantSource.system(), metrics);
         this.self = new DaemonId(settings.daemon(), clock.millis());
-        this.clusterView = ClusterView.empty(self, clock, assumedVersionAge());
-        this.operatorFreshness =
-                new FeedFreshness(operatorPace().maximumWait().plus(READ_TOLERANCE), clock);
+        FeedPaces paces = new FeedPaces(settings);
+        this.clusterView = ClusterView.empty(self, clock, paces.assumedVersionAge());
+        this.operatorFreshness = new FeedFreshness(paces.longestOperatorRead(), clock);
         this.callerDaemons = createCallerDaemons();
 
         ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
@@ -183,9 +159,9 @@
                 new ClusterViewUpdater(
                         clusterView, platform.decoder(), targets, operatorFreshness, clock, log);
         FeedMirror mirror = new FeedMirror(updater);
-        this.operatorFeed = follower(Feed.OPERATOR, operatorPace(), mirror);
-        this.targetsFeed = follower(Feed.TARGETS, targetsPace(), mirror);
-        this.daemonsFeed = follower(Feed.DAEMONS, DAEMONS_PACE, mirror);
+        this.operatorFeed = follower(Feed.OPERATOR, paces.operators(), mirror);
+        this.targetsFeed = follower(Feed.TARGETS, paces.targets(), mirror);
+        this.daemonsFeed = follower(Feed.DAEMONS, FeedPaces.DAEMONS, mirror);
 
         this.callers =
                 new CallerServer(
@@ -205,15 +181,7 @@
                         scheduler,
                         clock,
                         log);
-        this.relay =
-                new RecordRelay(
-                        mirror,
-                        clusterView.daemons(),
-                        controlCaller,
-                        () -> !isStoreReachable(),
-                        scheduler,
-                        random,
-                        log);
+        this.relay = createRelay(mirror, controlCaller);
         this.peers =
                 new AuxiliaryHttpServer(
                         eventLoop,
@@ -254,6 +222,18 @@
                 clock);
     }
 
+    private RecordRelay createRelay(FeedMirror mirror, HttpCaller controlCaller) {
+        return new RecordRelay(
+                mirror,
+                operatorFreshness,
+                clusterView.daemons(),
+                controlCaller,
+                () -> !isStoreReachable(),
+                scheduler,
+                random,
+                log);
+    }
+
     private WeightRollout createRollout(EngineOrderClient orderClient) {
         return new WeightRollout(
                 self.name(),
@@ -314,26 +294,6 @@
                 log);
     }
 
-    private FeedFollower.PollSettings operatorPace() {
-        return new FeedFollower.PollSettings(
-                OPERATOR_PAUSE,
-                part(settings.configurationApplyMilliseconds(), OPERATOR_WAIT_SHARE));
-    }
-
-    private FeedFollower.PollSettings targetsPace() {
-        return new FeedFollower.PollSettings(
-                part(settings.drainMilliseconds(), TARGETS_PAUSE_SHARE),
-                part(settings.drainMilliseconds(), TARGETS_WAIT_SHARE));
-    }
-
-    private Duration assumedVersionAge() {
-        return part(settings.longestOutdatedMilliseconds(), ASSUMED_AGE_SHARE);
-    }
-
-    private static Duration part(long milliseconds, double share) {
-        return Duration.ofMillis(Math.round(milliseconds * share));
-    }
-
     private FeedFollower follower(Feed feed, FeedFollower.PollSettings pace, FeedMirror mirror) {
         return new FeedFollower(feed, store, pace, scheduler, random, new FeedObserver(mirror));
     }
@@ -416,6 +376,9 @@
 
     private void checkLapsed() {
         updater.removeLapsedTargets();
+        if (isStoreDownForAll()) {
+            operatorFreshness.recordRead();
+        }
         scheduler.schedule(LAPSE_CHECK, this::checkLapsed);
     }
 
@@ -436,6 +399,17 @@
         reports.onDispatched(state);
     }
 
+    /**
+     * Returns whether other daemons are alive and none of them reads the store either: operators
+     * then publish nothing that this daemon misses.
+     */
+    private boolean isStoreDownForAll() {
+        List<DaemonReport> others = clusterView.daemons().aliveReports();
+        return !operatorFeed.isReachable()
+                && !others.isEmpty()
+                && others.stream().noneMatch(DaemonReport::storeReachable);
+    }
+
     private boolean isStoreReachable() {
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
@@ -530,7 +504,8 @@
     }
 
     private Duration grace(double share) {
-        return part(Math.round(settings.graceSeconds() * MILLISECONDS_PER_SECOND), share);
+        double milliseconds = settings.graceSeconds() * MILLISECONDS_PER_SECOND * share;
+        return Duration.ofMillis(Math.round(milliseconds));
     }
 
     private void finish(Instant signalledAt) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -9,6 +9,7 @@
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.feed.Feed;
+import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
 import org.bergamothoist.core.gossip.DaemonDirectory;
 import org.bergamothoist.core.gossip.DaemonReport;
@@ -38,6 +39,7 @@
     private static final String CONTENT_TYPE = "application/x-protobuf";
 
     private final FeedMirror mirror;
+    private final FeedFreshness operatorFreshness;
     private final DaemonDirectory daemons;
     private final HttpCaller caller;
     private final BooleanSupplier storeUnreachable;
@@ -48,11 +50,13 @@
     /**
      * Creates a relay that sends no requests yet.
      *
+     * @param operatorFreshness bounds the age of operators' records; told of each relayed read
      * @param storeUnreachable returns whether this daemon cannot read the store
      * @param random returns numbers from 0 (inclusive) to 1 (exclusive)
      */
     public RecordRelay(
             FeedMirror mirror,
+            FeedFreshness operatorFreshness,
             DaemonDirectory daemons,
             HttpCaller caller,
             BooleanSupplier storeUnreachable,
@@ -60,6 +64,7 @@
             DoubleSupplier random,
             DecisionLog log) {
         this.mirror = mirror;
+        this.operatorFreshness = operatorFreshness;
         this.daemons = daemons;
         this.caller = caller;
         this.storeUnreachable = storeUnreachable;
@@ -121,6 +126,7 @@
                     GossipMessageCodec.decodeRelayResponse(response.body());
             mirror.apply(Feed.OPERATOR, records.operatorRecords());
             mirror.apply(Feed.TARGETS, records.targetRecords());
+            operatorFreshness.recordRead();
         } catch (GatewayException exception) {
             log.write(
                     DecisionKind.RECORD_IGNORED,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -282,6 +282,7 @@
                 current.preparationStartedAt = null;
                 current.loading = true;
                 current.orderedAt = now;
+                current.accepted = false;
                 current.concurrentLoads = 0;
                 updateConcurrentLoads(now);
                 sendOrder(order, current);
@@ -352,6 +353,7 @@
         }
         switch (result) {
             case ACCEPTED -> {
+                current.accepted = true;
                 current.acceptedOrders++;
                 pollLater(order, current, loadTimes.firstPollDelay());
             }
@@ -446,7 +448,7 @@
 
     private void completeLoad(
             WeightOrder order, LoadProgress current, EngineOrderClient.EngineReport report) {
-        if (current.loading) {
+        if (current.loading && current.accepted) {
             Duration duration = Duration.between(current.orderedAt, clock.instant());
             loadTimes.add(duration, current.concurrentLoads);
         }
@@ -486,6 +488,7 @@
         private long acceptedOrders;
         private Instant preparationStartedAt;
         private Instant orderedAt = Instant.EPOCH;
+        private boolean accepted;
         private int concurrentLoads;
         private Instant retryAt = Instant.EPOCH;
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -5,9 +5,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.fleet.RegisteredTarget;
@@ -45,6 +47,7 @@
     private Duration longestIdleTime = Duration.ZERO;
     private Duration loadTime = SPECIFIED_LOAD_TIME;
     private Duration longestOutdated = Duration.ofSeconds(15);
+    private final Set<String> alreadyHolding = new HashSet<>();
     private int statePolls;
     private int maximumLoading;
     private int minimumAccepting = Integer.MAX_VALUE;
@@ -89,6 +92,11 @@
                 Duration sendWithin) {
             assertThat(sendWithin).isPositive();
             FakeEngine engine = engines.get(order.engine().id());
+            if (alreadyHolding.remove(order.engine().id())) {
+                engine.loadEndsAt = time.instant().minus(REPORT_AGE);
+                engine.acceptedOrders++;
+                return CompletableFuture.completedFuture(OrderResult.ALREADY_HOLDS);
+            }
             if (engine.isLoading(time.instant()) || engine.acceptedOrders != expectedOrders) {
                 return CompletableFuture.completedFuture(OrderResult.CONFLICT);
             }
@@ -254,4 +262,20 @@
                 .allMatch(engine -> engine.report(time.instant()).weightVersion() == 2);
         assertThat(maximumLoading).isLessThanOrEqualTo(59 / 4 + 1);
     }
+
+    /**
+     * Guards against engines that already hold the weights, for example after a late order, being
+     * taken for engines that load fast: every later engine would be polled far too often.
+     */
+    @Test
+    void enginesThatAlreadyHoldTheWeightsDoNotChangeTheEstimate() {
+        for (int index = 0; index < 8; index++) {
+            alreadyHolding.add("engine-" + index);
+        }
+        start(16, Duration.ZERO);
+        run(Duration.ofSeconds(15));
+        assertThat(engines.values())
+                .allMatch(engine -> engine.report(time.instant()).weightVersion() == 2);
+        assertThat(statePolls).isLessThanOrEqualTo(16 * 6);
+    }
 }
