Read registrations half as often on standby daemons

Change: the pace of a feed is asked for at each call; on standby the pause between reads of registrations is 0.6 of the time for leaving targets instead of 0.3.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.bergamothoist.core.time.Jitter;
 import org.bergamothoist.core.time.Scheduler;
 
@@ -20,7 +21,7 @@
 
     private final Feed feed;
     private final FeedSource source;
-    private final PollSettings poll;
+    private final Supplier<PollSettings> poll;
     private final Scheduler scheduler;
     private final DoubleSupplier random;
     private final Observer observer;
@@ -58,12 +59,13 @@
     /**
      * Creates a follower, which is inactive until {@link #start}.
      *
+     * @param poll returns how the feed is polled, which may change from call to call
      * @param random supplies random numbers from 0 to 1
      */
     public FeedFollower(
             Feed feed,
             FeedSource source,
-            PollSettings poll,
+            Supplier<PollSettings> poll,
             Scheduler scheduler,
             DoubleSupplier random,
             Observer observer) {
@@ -96,12 +98,12 @@
                             onSuccess();
                             nextOffset = listing.end();
                             observer.onListing(feed, listing);
-                            scheduler.schedule(poll.pause(), this::read);
+                            scheduler.schedule(poll.get().pause(), this::read);
                         });
     }
 
     private void read() {
-        source.read(feed, nextOffset, poll.maximumWait())
+        source.read(feed, nextOffset, poll.get().maximumWait())
                 .whenComplete(
                         (page, failure) -> {
                             if (unwrap(failure) instanceof ExpiredOffsetException) {
@@ -115,7 +117,7 @@
                             onSuccess();
                             nextOffset = page.next();
                             observer.onPage(feed, page);
-                            scheduler.schedule(poll.pause(), this::read);
+                            scheduler.schedule(poll.get().pause(), this::read);
                         });
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
@@ -25,7 +25,9 @@
             new FeedFollower(
                     Feed.OPERATOR,
                     this,
-                    new FeedFollower.PollSettings(Duration.ofMillis(10), Duration.ofMillis(100)),
+                    () ->
+                            new FeedFollower.PollSettings(
+                                    Duration.ofMillis(10), Duration.ofMillis(100)),
                     time,
                     () -> 1.0,
                     this);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/FeedPaces.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/FeedPaces.java
@@ -22,6 +22,9 @@
     /** Part of the time for leaving targets that passes between reads of registrations. */
     private static final double TARGETS_PAUSE_SHARE = 0.3;
 
+    /** The same for a daemon on standby, which sends requests to targets only by exception. */
+    private static final double STANDBY_TARGETS_PAUSE_SHARE = 0.6;
+
     /** Part of the time for leaving targets that a read waits at the store at most. */
     private static final double TARGETS_WAIT_SHARE = 0.35;
 
@@ -43,9 +46,15 @@
                 part(settings.configurationApplyMilliseconds(), OPERATOR_WAIT_SHARE));
     }
 
-    FeedFollower.PollSettings targets() {
+    /**
+     * Returns how registrations are read.
+     *
+     * @param active whether this daemon takes callers' requests
+     */
+    FeedFollower.PollSettings targets(boolean active) {
+        double pauseShare = active ? TARGETS_PAUSE_SHARE : STANDBY_TARGETS_PAUSE_SHARE;
         return new FeedFollower.PollSettings(
-                part(settings.drainMilliseconds(), TARGETS_PAUSE_SHARE),
+                part(settings.drainMilliseconds(), pauseShare),
                 part(settings.drainMilliseconds(), TARGETS_WAIT_SHARE));
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
@@ -159,9 +160,10 @@
                 new ClusterViewUpdater(
                         clusterView, platform.decoder(), targets, operatorFreshness, clock, log);
         FeedMirror mirror = new FeedMirror(updater);
-        this.operatorFeed = follower(Feed.OPERATOR, paces.operators(), mirror);
-        this.targetsFeed = follower(Feed.TARGETS, paces.targets(), mirror);
-        this.daemonsFeed = follower(Feed.DAEMONS, FeedPaces.DAEMONS, mirror);
+        this.operatorFeed = follower(Feed.OPERATOR, paces::operators, mirror);
+        this.targetsFeed =
+                follower(Feed.TARGETS, () -> paces.targets(callerDaemons.isActive()), mirror);
+        this.daemonsFeed = follower(Feed.DAEMONS, () -> FeedPaces.DAEMONS, mirror);
 
         this.callers =
                 new CallerServer(
@@ -294,7 +296,8 @@
                 log);
     }
 
-    private FeedFollower follower(Feed feed, FeedFollower.PollSettings pace, FeedMirror mirror) {
+    private FeedFollower follower(
+            Feed feed, Supplier<FeedFollower.PollSettings> pace, FeedMirror mirror) {
         return new FeedFollower(feed, store, pace, scheduler, random, new FeedObserver(mirror));
     }
 
