Load fewer engines at once while time allows, and leave paused streams at engines that are alive

Streams that an engine short of memory pauses were read again elsewhere. Change: only engines that can be ordered count; 0.8 of the limit is planned for. A started stream may pause for seven gaps instead of five while its target sends other events. A malformed configuration has the existing code for invalid settings.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/error/ErrorCode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/error/ErrorCode.java
@@ -53,8 +53,6 @@
     STOPPING,
     /** A setting is missing or invalid. */
     INVALID_SETTINGS,
-    /** A field of the operators' configuration is malformed. */
-    INVALID_CONFIGURATION,
     /** A sheet is invalid. */
     INVALID_SHEET,
     /** A sheet is based on an older version than the current one. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadConcurrency.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadConcurrency.java
@@ -23,7 +23,7 @@
      * State of a rollout.
      *
      * @param engines number of engines that have the models of the rollout
-     * @param outdatedEngines number of these that have outdated weights
+     * @param outdatedEngines number of these that have outdated weights and can be ordered to load
      * @param timePerLoad time that one engine is expected to be out of use for its load
      * @param timeLeft time until the first outdated engine may start no more requests
      * @param busy whether the engines are too busy to meet latency objectives
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutSettings.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutSettings.java
@@ -20,7 +20,7 @@
 
     /** Values for deployments that state none. */
     public static final RolloutSettings DEFAULT =
-            new RolloutSettings(0.25, 0.5, Duration.ofMillis(250));
+            new RolloutSettings(0.25, 0.8, Duration.ofMillis(250));
 
     public RolloutSettings {
         checkShare("maximumShareLoading", maximumShareLoading);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -51,6 +51,12 @@
      */
     private static final int MAXIMUM_SILENCE_IN_EVENT_GAPS = 5;
 
+    /**
+     * The same for a stream whose target sends events of other streams: an engine that is short of
+     * memory pauses single streams, and goes on with them sooner than another one could.
+     */
+    private static final int MAXIMUM_PAUSE_IN_EVENT_GAPS = 7;
+
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -68,6 +74,10 @@
     private Attempt attempt;
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private Scheduler.Cancellable silenceTimer = () -> {};
+
+    /** Whether the current silence has been extended because the target serves other streams. */
+    private boolean pauseAllowed;
+
     private boolean retryReserved;
     private Duration timeToFirstByte;
     private boolean ended;
@@ -239,6 +249,7 @@
         if (!request.route().kind().isRetryable()) {
             return;
         }
+        pauseAllowed = false;
         silenceTimer = dependencies.scheduler().schedule(maximumSilence(), this::onSilenceTimeout);
     }
 
@@ -257,15 +268,23 @@
         if (ended || attempt == null) {
             return;
         }
-        Duration objective = request.route().latencyObjective();
-        boolean queued =
+        boolean targetAlive =
                 request.route().kind().isStream()
-                        && !relay.hasRelayedEvents()
-                        && attempt.hasTargetSentBytesWithin(objective);
-        if (queued) {
+                        && attempt.hasTargetSentBytesWithin(request.route().latencyObjective());
+        if (targetAlive && !relay.hasRelayedEvents()) {
             restartSilenceTimer();
             return;
         }
+        if (targetAlive && !pauseAllowed) {
+            pauseAllowed = true;
+            Duration rest =
+                    request.route()
+                            .longestEventGap()
+                            .multipliedBy(
+                                    MAXIMUM_PAUSE_IN_EVENT_GAPS - MAXIMUM_SILENCE_IN_EVENT_GAPS);
+            silenceTimer = dependencies.scheduler().schedule(rest, this::onSilenceTimeout);
+            return;
+        }
         if (tryRetry(AttemptFailure.NO_ANSWER)) {
             Attempt silent = attempt;
             silent.abandon();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -167,6 +167,7 @@
         List<RolloutPlanner.EngineRolloutState> outdated =
                 engines.stream()
                         .filter(engine -> RolloutPlanner.isOutdated(engine, newest))
+                        .filter(RolloutPlanner.EngineRolloutState::reachable)
                         .toList();
         Instant outdatedSince =
                 outdated.stream()
