Notice the end of a load soon after longer loads

Engines whose load had ended stayed out of use for seconds. Change: the first poll comes after 0.6 of the shortest recent load.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
@@ -26,11 +26,14 @@
     /** Time to the first poll of the first load, while nothing is known of its duration. */
     private static final Duration FIRST_POLL_WITHOUT_ESTIMATE = Duration.ofMillis(250);
 
-    /** Part of the estimate after which an engine is polled, so that shorter loads are noticed. */
-    private static final double FIRST_POLL_SHARE = 0.9;
+    /**
+     * Part of the shortest recent load after which an engine is polled. What is observed is never
+     * shorter than the first poll, so that the estimate falls by up to this factor with each load.
+     */
+    private static final double FIRST_POLL_SHARE = 0.6;
 
     /** Part of the time since the order that passes until the next poll. */
-    private static final double POLL_SHARE = 0.15;
+    private static final double POLL_SHARE = 0.2;
 
     private static final Duration MINIMUM_POLL_INTERVAL = Duration.ofMillis(60);
     private static final Duration MAXIMUM_POLL_INTERVAL = Duration.ofMillis(400);
@@ -59,8 +62,10 @@
 
     /** Returns the time from an order to the first poll of the engine. */
     public Duration firstPollDelay() {
-        return loadTime()
-                .map(estimate -> multiply(estimate, FIRST_POLL_SHARE))
+        return recent.stream()
+                .map(Load::duration)
+                .min(Duration::compareTo)
+                .map(shortest -> multiply(shortest, FIRST_POLL_SHARE))
                 .orElse(FIRST_POLL_WITHOUT_ESTIMATE);
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/LoadConcurrencyTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/LoadConcurrencyTest.java
@@ -71,6 +71,25 @@
                 .isBetween(Duration.ofMillis(milliseconds / 2), Duration.ofMillis(milliseconds));
     }
 
+    /**
+     * Guards against engines that stay out of use after their load has ended, because an earlier
+     * load took long on a busy engine and the next poll waits as long.
+     */
+    @Test
+    void endOfShortLoadIsNoticedSoonAfterLongOnes() {
+        addLoads(2, 2, 6_500);
+        Duration loadTime = Duration.ofMillis(2_200);
+        Duration observed = Duration.ZERO;
+        for (int load = 0; load < 4; load++) {
+            observed = loadTimes.firstPollDelay();
+            while (observed.compareTo(loadTime) < 0) {
+                observed = observed.plus(loadTimes.pollInterval(observed));
+            }
+            loadTimes.add(observed, 2);
+        }
+        assertThat(observed).isLessThan(Duration.ofMillis(2_700));
+    }
+
     /** Guards against estimates that can only grow, because no poll ever comes sooner. */
     @Test
     void estimateFallsWhenLoadsBecomeShorter() {
