--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/GatewaySettings.java
@@ -47,17 +47,32 @@
         @JsonProperty("order_lease_milliseconds") long orderLeaseMilliseconds,
         @JsonProperty("grace_seconds") double graceSeconds,
         @JsonProperty("retry_share") double retryShare,
-        @JsonProperty("retry_slack") int retrySlack,
+        @JsonProperty("retry_slack") Integer retrySlack,
         @JsonProperty("longest_outdated_milliseconds") long longestOutdatedMilliseconds,
-        @JsonProperty("configuration_apply_milliseconds") long configurationApplyMilliseconds,
-        @JsonProperty("drain_milliseconds") long drainMilliseconds,
-        @JsonProperty("processor_share") double processorShare,
-        @JsonProperty("processor_cores") double processorCores) {
+        @JsonProperty("configuration_apply_milliseconds") Long configurationApplyMilliseconds,
+        @JsonProperty("drain_milliseconds") Long drainMilliseconds,
+        @JsonProperty("processor_share") Double processorShare,
+        @JsonProperty("processor_cores") Double processorCores) {
 
     private static final int LARGEST_PORT = 65_535;
 
+    private static final int DEFAULT_RETRY_SLACK = 20;
+    private static final long DEFAULT_CONFIGURATION_APPLY_MILLISECONDS = 2_000;
+    private static final long DEFAULT_DRAIN_MILLISECONDS = 2_000;
+    private static final double DEFAULT_PROCESSORS = 1;
+
     public GatewaySettings {
         seeds = seeds == null ? List.of() : List.copyOf(seeds);
+        retrySlack = orDefault(retrySlack, DEFAULT_RETRY_SLACK);
+        configurationApplyMilliseconds =
+                orDefault(configurationApplyMilliseconds, DEFAULT_CONFIGURATION_APPLY_MILLISECONDS);
+        drainMilliseconds = orDefault(drainMilliseconds, DEFAULT_DRAIN_MILLISECONDS);
+        processorShare = orDefault(processorShare, DEFAULT_PROCESSORS);
+        processorCores = orDefault(processorCores, DEFAULT_PROCESSORS);
+    }
+
+    private static <T> T orDefault(T stated, T defaultValue) {
+        return stated == null ? defaultValue : stated;
     }
 
     /** Reads and checks a settings file; throws {@link GatewayException} that names each fault. */
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/FeedPacesTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/FeedPacesTest.java
@@ -33,8 +33,8 @@
                         20_000,
                         applyMilliseconds,
                         drainMilliseconds,
-                        1,
-                        1));
+                        1.0,
+                        1.0));
     }
 
     @ParameterizedTest
