--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/CallerAssignment.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/CallerAssignment.java
@@ -38,7 +38,7 @@
      */
     public record Settings(int minimumDaemons, double minimumShareOfCapacity) {
 
-        /** Values for deployments that state none. */
+        /** Values of all deployments; the settings file has no keys for them. */
         public static final Settings DEFAULT = new Settings(8, 0.4);
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/LoadTimeEstimator.java
@@ -10,7 +10,8 @@
 /**
  * Learns how long engines take to load weights, and at how many concurrent loads they slow each
  * other down. Estimates are medians over a bounded number of recent loads, so that single outliers
- * do not change them. Confined to the control thread.
+ * do not change them; only the first poll of an engine follows the shortest of these loads.
+ * Confined to the control thread.
  */
 public final class LoadTimeEstimator {
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutSettings.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/RolloutSettings.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Settings of rollouts. Each has a default, since no deployment has to state it.
+ * Limits of rollouts.
  *
  * @param maximumShareLoading share of a model's engines that may load at once, from 0 to 1; the
  *     others have to carry the load meanwhile
@@ -18,7 +18,7 @@
     /** Loads of one model that may always run at once, however few engines there are. */
     static final int MINIMUM_CONCURRENT_LOADS = 2;
 
-    /** Values for deployments that state none. */
+    /** Values of all deployments; the settings file has no keys for them. */
     public static final RolloutSettings DEFAULT =
             new RolloutSettings(0.25, 0.8, Duration.ofMillis(250));
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -89,7 +89,7 @@
         return eventsRelayed;
     }
 
-    /** Returns whether the target has sent more bytes without an event's end than events have. */
+    /** Returns whether the incomplete event is larger than any event may be. */
     boolean hasOversizedEvent() {
         return events != null && events.isOversized();
     }
