--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -8,6 +8,8 @@
     DAEMON_STOPPING,
     /** The process ends. */
     DAEMON_STOPPED,
+    /** The process did not run for a while. */
+    DAEMON_PAUSED,
     /** The settings were reloaded. */
     SETTINGS_RELOADED,
     /** An external system can no longer be reached. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
@@ -31,6 +31,11 @@
         lastReadAt = clock.instant();
     }
 
+    /** Returns when the feed was last read to its end. */
+    public Instant lastReadAt() {
+        return lastReadAt;
+    }
+
     /** Returns the earliest time at which records that arrive now can have been published. */
     public Instant earliestPublication() {
         Instant now = clock.instant();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -88,12 +88,14 @@
      * @param predictedMilliseconds predicted time to the first token, in milliseconds, with
      *     penalties
      * @param queueingDelay predicted time until the engine starts the request
+     * @param outdatedSince when newer weights than the engine's were requested, if they were
      */
     public record Choice(
             RegisteredTarget target,
             int prefillTokens,
             double predictedMilliseconds,
-            Duration queueingDelay) {}
+            Duration queueingDelay,
+            Optional<Instant> outdatedSince) {}
 
     /** Looks up since when a version of a model's weights has been outdated. */
     @FunctionalInterface
@@ -219,7 +221,8 @@
                 queueingMilliseconds + prefillTokens / costs.prefillTokensPerMillisecond();
         predictedMilliseconds += costs.runningRequest() * state.load().totalRequests(now);
         predictedMilliseconds += costs.allRequestsFailing() * state.health().failureRate();
-        predictedMilliseconds += outdatedPenalty(outdatedSince(engine, requirements), now);
+        Optional<Instant> outdatedSince = outdatedSince(engine, requirements);
+        predictedMilliseconds += outdatedPenalty(outdatedSince, now);
         predictedMilliseconds +=
                 (costs.fetchedToken() + requirements.transferMillisecondsPerToken())
                         * fetchedTokens;
@@ -233,7 +236,8 @@
                 engine,
                 prefillTokens,
                 predictedMilliseconds,
-                Duration.ofMillis(Math.round(queueingMilliseconds)));
+                Duration.ofMillis(Math.round(queueingMilliseconds)),
+                outdatedSince);
     }
 
     /**
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -41,6 +41,7 @@
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.rollout.RolloutSettings;
 import org.bergamothoist.core.time.MonotonicClock;
+import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.caller.ActiveAttempts;
 import org.bergamothoist.gateway.caller.CallerServer;
@@ -81,6 +82,9 @@
     /** Interval between checks of lapsed registrations. */
     private static final Duration LAPSE_CHECK = Duration.ofMillis(250);
 
+    /** Time between two checks above which the process did not run in between. */
+    private static final Duration LONGEST_CHECK_INTERVAL = LAPSE_CHECK.multipliedBy(2);
+
     /** Pause before the own address is published again after a failure. */
     private static final Duration PUBLISH_PAUSE = Duration.ofMillis(500);
 
@@ -114,6 +118,7 @@
     private final DaemonId self;
     private final ClusterView clusterView;
     private final CallerDaemons callerDaemons;
+    private final PauseDetector pauses;
     private final FeedFreshness operatorFreshness;
     private final PlatformAdapter.Store store;
     private final ClusterViewUpdater updater;
@@ -149,6 +154,7 @@
         this.self = new DaemonId(settings.daemon(), clock.millis());
         FeedPaces paces = new FeedPaces(settings);
         this.clusterView = ClusterView.empty(self, clock, paces.assumedVersionAge());
+        this.pauses = new PauseDetector(LONGEST_CHECK_INTERVAL, clock, this::onPause);
         this.operatorFreshness = new FeedFreshness(paces.longestOperatorRead(), clock);
         this.callerDaemons = createCallerDaemons();
 
@@ -377,7 +383,17 @@
                         });
     }
 
+    private void onPause(Duration pause) {
+        metrics.counter("pauses").inc();
+        log.write(
+                DecisionKind.DAEMON_PAUSED,
+                self.toString(),
+                () -> "milliseconds=" + pause.toMillis() + " store-reachable=" + isStoreReachable(),
+                "runs again");
+    }
+
     private void checkLapsed() {
+        pauses.recordRun();
         updater.removeLapsedTargets();
         if (isStoreDownForAll()) {
             operatorFreshness.recordRead();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -215,6 +215,10 @@
                 + request.configuration().version()
                 + " weights="
                 + selection.state().weightVersion().orElse(0)
+                + selection
+                        .outdatedSince()
+                        .map(since -> " outdated-for=" + Duration.between(since, now).toMillis())
+                        .orElse("")
                 + " requests="
                 + selection.state().load().totalRequests(now)
                 + " prefill="
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
@@ -1,6 +1,7 @@
 package org.bergamothoist.gateway.caller;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -60,13 +61,15 @@
      *
      * @param prefillTokens predicted number of prompt tokens to prefill; 0 for plain services
      * @param queueingDelay predicted time until it starts the request; 0 for plain services
+     * @param outdatedSince when newer weights than the target's were requested, if they were
      */
     public record Selection(
             RegisteredTarget target,
             TargetState state,
             ForwardingMetadata forwarding,
             int prefillTokens,
-            Duration queueingDelay) {}
+            Duration queueingDelay,
+            Optional<Instant> outdatedSince) {}
 
     /** Selects one of the services of the request's route at random, by weight. */
     public String selectService(RequestContext request) {
@@ -176,7 +179,7 @@
                         Optional.empty(),
                         lastEventId);
         TargetState state = clusterView.targetStates().getOrCreate(target.incarnation());
-        return new Selection(target, state, forwarding, 0, Duration.ZERO);
+        return new Selection(target, state, forwarding, 0, Duration.ZERO, Optional.empty());
     }
 
     private Selection engineSelection(
@@ -215,7 +218,12 @@
                         cacheTransfer.saveTo(),
                         lastEventId);
         return new Selection(
-                target, state, forwarding, choice.prefillTokens(), choice.queueingDelay());
+                target,
+                state,
+                forwarding,
+                choice.prefillTokens(),
+                choice.queueingDelay(),
+                choice.outdatedSince());
     }
 
     /**
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetRegistry;
 import org.bergamothoist.core.fleet.TargetState;
+import org.bergamothoist.core.rollout.DesiredWeightVersions;
 import org.bergamothoist.core.route.RouteConfiguration;
 import org.bergamothoist.gateway.GatewayException;
 import org.bergamothoist.gateway.client.ConnectionPool;
@@ -106,22 +107,31 @@
     }
 
     private void addDesiredWeights(RecordDecoder.DesiredWeights weights, FeedRecord record) {
-        Instant requestedSince = operatorFreshness.earliestPublication();
-        if (clusterView
-                .desiredWeightVersions()
-                .add(weights.model(), weights.version(), requestedSince)) {
+        DesiredWeightVersions versions = clusterView.desiredWeightVersions();
+        if (versions.add(
+                weights.model(), weights.version(), operatorFreshness.earliestPublication())) {
             log.write(
                     DecisionKind.WEIGHTS_NAMED,
                     weights.model(),
                     () ->
                             "offset="
                                     + record.offset()
-                                    + " age-at-most="
-                                    + Duration.between(requestedSince, clock.instant()).toMillis(),
+                                    + versions.outdatedSince(weights.model(), weights.version() - 1)
+                                            .map(
+                                                    since ->
+                                                            " age-at-most="
+                                                                    + millisecondsSince(since))
+                                            .orElse("")
+                                    + " last-read="
+                                    + millisecondsSince(operatorFreshness.lastReadAt()),
                     "version " + weights.version());
         }
     }
 
+    private long millisecondsSince(Instant instant) {
+        return Duration.between(instant, clock.instant()).toMillis();
+    }
+
     private void logUnreadable(Feed feed, FeedRecord record) {
         log.write(
                 DecisionKind.RECORD_IGNORED,
