--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -139,6 +139,20 @@
                 .isEqualTo(chosen);
     }
 
+    /**
+     * Guards against requests that start on outdated weights because the version of an engine that
+     * gave an unexpected one in an answer is forgotten, and no limit applies to an unknown version.
+     */
+    @ParameterizedTest
+    @CsvSource({"0,true", "12,true", "13,false", "60,false"})
+    void engineOfUnknownVersionCountsAsOutdatedLikeItsRegisteredOne(int seconds, boolean chosen) {
+        engines.forEach(engine -> states.getOrCreate(engine.incarnation()).discardWeightVersion());
+        Instant since = time.instant().minusSeconds(seconds);
+        EnginePlacement.OutdatedSince outdatedSince =
+                version -> version < 2 ? Optional.of(since) : Optional.empty();
+        assertThat(!choose(outdatedSince, Set.of()).equals("none")).isEqualTo(chosen);
+    }
+
     @Test
     void avoidsOutdatedEngineWhileUpToDateHolderIsIdle() {
         for (RegisteredTarget engine : engines) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -25,7 +25,6 @@
 import org.bergamothoist.core.feed.FeedFollower;
 import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
-import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.fleet.ServicePlacement;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetState;
@@ -63,6 +62,7 @@
 import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.ClusterViewUpdater;
+import org.bergamothoist.gateway.state.MirroringFeedObserver;
 
 /** One daemon: wires its parts, starts them and stops them. All parts run on one event loop. */
 public final class Gateway implements PlatformAdapter.Questions {
@@ -166,10 +166,12 @@
                 new ClusterViewUpdater(
                         clusterView, platform.decoder(), targets, operatorFreshness, clock, log);
         FeedMirror mirror = new FeedMirror(updater);
-        this.operatorFeed = follower(Feed.OPERATOR, paces::operators, mirror);
+        FeedFollower.Observer feeds =
+                new MirroringFeedObserver(mirror, clusterView.targets(), operatorFreshness, log);
+        this.operatorFeed = follower(Feed.OPERATOR, paces::operators, feeds);
         this.targetsFeed =
-                follower(Feed.TARGETS, () -> paces.targets(callerDaemons.isActive()), mirror);
-        this.daemonsFeed = follower(Feed.DAEMONS, () -> FeedPaces.DAEMONS, mirror);
+                follower(Feed.TARGETS, () -> paces.targets(callerDaemons.isActive()), feeds);
+        this.daemonsFeed = follower(Feed.DAEMONS, () -> FeedPaces.DAEMONS, feeds);
 
         this.callers =
                 new CallerServer(
@@ -303,8 +305,8 @@
     }
 
     private FeedFollower follower(
-            Feed feed, Supplier<FeedFollower.PollSettings> pace, FeedMirror mirror) {
-        return new FeedFollower(feed, store, pace, scheduler, random, new FeedObserver(mirror));
+            Feed feed, Supplier<FeedFollower.PollSettings> pace, FeedFollower.Observer observer) {
+        return new FeedFollower(feed, store, pace, scheduler, random, observer);
     }
 
     /** Starts a daemon; throws {@link GatewayException} if an address cannot be bound. */
@@ -540,48 +542,4 @@
         stopped.complete(null);
         group.shutdownGracefully();
     }
-
-    /** Brings what was read to the mirror, and notes losses of the store. */
-    private final class FeedObserver implements FeedFollower.Observer {
-
-        private final FeedMirror mirror;
-
-        private FeedObserver(FeedMirror mirror) {
-            this.mirror = mirror;
-        }
-
-        @Override
-        public void onListing(Feed feed, FeedSource.Listing listing) {
-            mirror.apply(feed, listing);
-            recordRead(feed);
-        }
-
-        @Override
-        public void onPage(Feed feed, FeedSource.Page page) {
-            mirror.apply(feed, page.records());
-            recordRead(feed);
-        }
-
-        private void recordRead(Feed feed) {
-            if (feed == Feed.OPERATOR) {
-                operatorFreshness.recordRead();
-            }
-        }
-
-        @Override
-        public void onUnavailable(Feed feed, Throwable cause) {
-            if (feed == Feed.TARGETS) {
-                clusterView.targets().onStoreUnavailable();
-            }
-            log.write(DecisionKind.DEPENDENCY_LOST, "store", () -> feed + ": " + cause, "not read");
-        }
-
-        @Override
-        public void onAvailable(Feed feed) {
-            if (feed == Feed.TARGETS) {
-                clusterView.targets().onStoreAvailable();
-            }
-            log.write(DecisionKind.DEPENDENCY_REGAINED, "store", () -> "" + feed, "read");
-        }
-    }
 }
