Date versions read after a pause by what the process knew before it

Cause: callers got answers from weights that had been replaced for longer than the limit. dates versions after an interruption by the last read, but took a read to end when its response was handled. A process that stood still handled the empty response of its pending read at the end of the pause, and dated a version that was published meanwhile by the next read: up to the whole pause late. Pauses below 1.9 s counted as none. Change: a read covers the time until the store computed its response: the time of the call, or the end of the wait if it brought nothing. Relayed reads count from their request. DesiredWeightVersionsTest keeps its four cases; its process now runs without a pause, since 1.9 s in a paused one is what failed here. Conclusion: the time during which nothing is known for certain is part of a version's age, whatever made it pass.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
@@ -1,6 +1,8 @@
 package org.bergamothoist.core.feed;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.concurrent.CompletionException;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -23,6 +25,7 @@
     private final FeedSource source;
     private final Supplier<PollSettings> poll;
     private final Scheduler scheduler;
+    private final InstantSource clock;
     private final DoubleSupplier random;
     private final Observer observer;
     private long nextOffset = -1;
@@ -40,11 +43,19 @@
     /** Receives records and changes of the source's availability. */
     public interface Observer {
 
-        /** Handles a complete listing of the feed. */
-        void onListing(Feed feed, FeedSource.Listing listing);
+        /**
+         * Handles a complete listing of the feed.
+         *
+         * @param completeUntil time up to which all published records are known now
+         */
+        void onListing(Feed feed, FeedSource.Listing listing, Instant completeUntil);
 
-        /** Handles records that follow the last listing or page. */
-        void onPage(Feed feed, FeedSource.Page page);
+        /**
+         * Handles records that follow the last listing or page.
+         *
+         * @param completeUntil time up to which all published records are known now
+         */
+        void onPage(Feed feed, FeedSource.Page page, Instant completeUntil);
 
         /** Handles a failed call that follows a successful one or is the first call. */
         void onUnavailable(Feed feed, Throwable cause);
@@ -67,12 +78,14 @@
             FeedSource source,
             Supplier<PollSettings> poll,
             Scheduler scheduler,
+            InstantSource clock,
             DoubleSupplier random,
             Observer observer) {
         this.feed = feed;
         this.source = source;
         this.poll = poll;
         this.scheduler = scheduler;
+        this.clock = clock;
         this.random = random;
         this.observer = observer;
     }
@@ -88,6 +101,7 @@
     }
 
     private void list() {
+        Instant sentAt = clock.instant();
         source.list(feed)
                 .whenComplete(
                         (listing, failure) -> {
@@ -97,13 +111,15 @@
                             }
                             onSuccess();
                             nextOffset = listing.end();
-                            observer.onListing(feed, listing);
+                            observer.onListing(feed, listing, sentAt);
                             scheduler.schedule(poll.get().pause(), this::read);
                         });
     }
 
     private void read() {
-        source.read(feed, nextOffset, poll.get().maximumWait())
+        Instant sentAt = clock.instant();
+        Duration maximumWait = poll.get().maximumWait();
+        source.read(feed, nextOffset, maximumWait)
                 .whenComplete(
                         (page, failure) -> {
                             if (unwrap(failure) instanceof ExpiredOffsetException) {
@@ -116,11 +132,25 @@
                             }
                             onSuccess();
                             nextOffset = page.next();
-                            observer.onPage(feed, page);
+                            observer.onPage(feed, page, completeUntil(page, sentAt, maximumWait));
                             scheduler.schedule(poll.get().pause(), this::read);
                         });
     }
 
+    /**
+     * Returns a time before which the source has computed the page. The time at which the response
+     * is handled is no such time, since it may have waited while this process stood still. A page
+     * without records was computed when the wait had expired.
+     */
+    private Instant completeUntil(FeedSource.Page page, Instant sentAt, Duration maximumWait) {
+        Instant now = clock.instant();
+        Instant waitExpired = sentAt.plus(maximumWait);
+        if (!page.records().isEmpty()) {
+            return sentAt;
+        }
+        return waitExpired.isBefore(now) ? waitExpired : now;
+    }
+
     private static Throwable unwrap(Throwable failure) {
         boolean wrapped = failure != null && failure.getCause() != null;
         return wrapped && failure instanceof CompletionException ? failure.getCause() : failure;
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
@@ -3,43 +3,51 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import org.bergamothoist.core.time.PauseDetector;
 
 /**
  * Bounds the age of records that a feed delivers. Records that arrive while the feed is read
- * without interruption are new; after an interruption they may be as old as the last read before
- * it. Confined to the control thread.
+ * without interruption are new; after an interruption of the reads or a pause of this process they
+ * may be as old as the time up to which all records were known before. Confined to the control
+ * thread.
  */
 public final class FeedFreshness {
 
     private final Duration longestRead;
+    private final PauseDetector pauses;
     private final InstantSource clock;
-    private Instant lastReadAt;
+    private Instant completeUntil;
 
     /**
      * Creates the freshness of a feed that is about to be read.
      *
      * @param longestRead longest time between two reads of an uninterrupted feed
      */
-    public FeedFreshness(Duration longestRead, InstantSource clock) {
+    public FeedFreshness(Duration longestRead, PauseDetector pauses, InstantSource clock) {
         this.longestRead = longestRead;
+        this.pauses = pauses;
         this.clock = clock;
-        this.lastReadAt = clock.instant();
+        this.completeUntil = clock.instant();
     }
 
-    /** Records that the feed was read to its end. */
-    public void recordRead() {
-        lastReadAt = clock.instant();
+    /** Records that all records that were published up to the instant are known. */
+    public void recordComplete(Instant until) {
+        if (until.isAfter(completeUntil)) {
+            completeUntil = until;
+        }
     }
 
-    /** Returns when the feed was last read to its end. */
-    public Instant lastReadAt() {
-        return lastReadAt;
+    /** Returns the time up to which all published records are known. */
+    public Instant completeUntil() {
+        return completeUntil;
     }
 
     /** Returns the earliest time at which records that arrive now can have been published. */
     public Instant earliestPublication() {
         Instant now = clock.instant();
-        boolean interrupted = now.isAfter(lastReadAt.plus(longestRead));
-        return interrupted ? lastReadAt : now;
+        boolean interrupted =
+                now.isAfter(completeUntil.plus(longestRead))
+                        || pauses.hasPausedSince(completeUntil);
+        return interrupted ? completeUntil : now;
     }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -13,12 +14,15 @@
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class FeedFollowerTest implements FeedSource, FeedFollower.Observer {
 
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final List<String> calls = new ArrayList<>();
     private final List<String> notifications = new ArrayList<>();
+    private final List<Instant> completeUntils = new ArrayList<>();
     private final Deque<CompletableFuture<Page>> pages = new ArrayDeque<>();
     private final Deque<CompletableFuture<Listing>> listings = new ArrayDeque<>();
     private final FeedFollower follower =
@@ -29,6 +33,7 @@
                             new FeedFollower.PollSettings(
                                     Duration.ofMillis(10), Duration.ofMillis(100)),
                     time,
+                    time,
                     () -> 1.0,
                     this);
 
@@ -45,12 +50,13 @@
     }
 
     @Override
-    public void onListing(Feed feed, Listing listing) {
+    public void onListing(Feed feed, Listing listing, Instant completeUntil) {
         notifications.add("listing " + listing.end());
     }
 
     @Override
-    public void onPage(Feed feed, Page page) {
+    public void onPage(Feed feed, Page page, Instant completeUntil) {
+        completeUntils.add(completeUntil);
         notifications.add("page " + page.records().size());
     }
 
@@ -103,4 +109,20 @@
                 .containsExactly("available", "listing 7", "unavailable", "available", "page 0");
         assertThat(follower.isReachable()).isTrue();
     }
+
+    /** Guards against a response that waited in a paused process and counts as a recent read. */
+    @ParameterizedTest
+    @CsvSource({"false,40,40", "false,100,100", "false,5000,100", "true,40,0", "true,5000,0"})
+    void pageCoversTheTimeUntilTheSourceComputedIt(
+            boolean recordFound, long handledAfter, long coveredMilliseconds) {
+        CompletableFuture<Page> pending = new CompletableFuture<>();
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+        pages.add(pending);
+        follower.start();
+        time.advanceMillis(10);
+        Instant sentAt = time.instant();
+        time.advanceMillis(handledAfter);
+        pending.complete(new Page(recordFound ? List.of(record(7)) : List.of(), 8));
+        assertThat(completeUntils).containsExactly(sentAt.plusMillis(coveredMilliseconds));
+    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import org.bergamothoist.core.feed.FeedFreshness;
+import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,6 +15,8 @@
 
     private static final Duration ASSUMED_AGE = Duration.ofSeconds(8);
 
+    private static final Duration RUN_INTERVAL = Duration.ofMillis(100);
+
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final DesiredWeightVersions versions = new DesiredWeightVersions(time, ASSUMED_AGE);
 
@@ -44,17 +47,24 @@
                 .matches(since -> Duration.between(since, time.instant()).toSeconds() >= 8);
     }
 
+    private void recordRuns(PauseDetector pauses) {
+        pauses.recordRun();
+        time.schedule(RUN_INTERVAL, () -> recordRuns(pauses));
+    }
+
     /**
-     * Guards against requests that start on old weights too late, because the daemon was frozen or
-     * cut from the store when the new version was requested.
+     * Guards against requests that start on old weights too late, because the daemon was cut from
+     * the store when the new version was requested.
      */
     @ParameterizedTest
     @CsvSource({"1000,0", "1900,0", "2100,2100", "9000,9000"})
     void versionReadAfterAnInterruptionCountsFromTheLastRead(long gap, long age) {
         time.advanceMillis(20_000);
-        FeedFreshness freshness = new FeedFreshness(Duration.ofMillis(2_000), time);
+        PauseDetector pauses = new PauseDetector(RUN_INTERVAL, time, pause -> {});
+        recordRuns(pauses);
+        FeedFreshness freshness = new FeedFreshness(Duration.ofMillis(2_000), pauses, time);
         time.advanceMillis(500);
-        freshness.recordRead();
+        freshness.recordComplete(time.instant());
         time.advanceMillis(gap);
         versions.add("m", 2, freshness.earliestPublication());
         assertThat(versions.outdatedSince("m", 1)).contains(time.instant().minusMillis(age));
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -155,7 +155,7 @@
         FeedPaces paces = new FeedPaces(settings);
         this.clusterView = ClusterView.empty(self, clock, paces.assumedVersionAge());
         this.pauses = new PauseDetector(LONGEST_CHECK_INTERVAL, clock, this::onPause);
-        this.operatorFreshness = new FeedFreshness(paces.longestOperatorRead(), clock);
+        this.operatorFreshness = new FeedFreshness(paces.longestOperatorRead(), pauses, clock);
         this.callerDaemons = createCallerDaemons();
 
         ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
@@ -240,6 +240,7 @@
                 controlCaller,
                 () -> !isStoreReachable(),
                 scheduler,
+                clock,
                 random,
                 log);
     }
@@ -306,7 +307,7 @@
 
     private FeedFollower follower(
             Feed feed, Supplier<FeedFollower.PollSettings> pace, FeedFollower.Observer observer) {
-        return new FeedFollower(feed, store, pace, scheduler, random, observer);
+        return new FeedFollower(feed, store, pace, scheduler, clock, random, observer);
     }
 
     /** Starts a daemon; throws {@link GatewayException} if an address cannot be bound. */
@@ -398,7 +399,7 @@
         pauses.recordRun();
         updater.removeLapsedTargets();
         if (isStoreDownForAll()) {
-            operatorFreshness.recordRead();
+            operatorFreshness.recordComplete(clock.instant());
         }
         scheduler.schedule(LAPSE_CHECK, this::checkLapsed);
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -44,6 +46,7 @@
     private final HttpCaller caller;
     private final BooleanSupplier storeUnreachable;
     private final Scheduler scheduler;
+    private final InstantSource clock;
     private final DoubleSupplier random;
     private final DecisionLog log;
 
@@ -61,6 +64,7 @@
             HttpCaller caller,
             BooleanSupplier storeUnreachable,
             Scheduler scheduler,
+            InstantSource clock,
             DoubleSupplier random,
             DecisionLog log) {
         this.mirror = mirror;
@@ -69,6 +73,7 @@
         this.caller = caller;
         this.storeUnreachable = storeUnreachable;
         this.scheduler = scheduler;
+        this.clock = clock;
         this.random = random;
         this.log = log;
     }
@@ -97,6 +102,7 @@
                         new GossipMessageCodec.RelayRequest(
                                 mirror.newestOffset(Feed.OPERATOR),
                                 mirror.newestOffset(Feed.TARGETS)));
+        Instant sentAt = clock.instant();
         var call =
                 new HttpCaller.Call(
                         HttpMethod.POST,
@@ -109,7 +115,7 @@
                 .whenComplete(
                         (response, failure) -> {
                             if (failure == null && response.status() == OK) {
-                                applyRecords(source, response);
+                                applyRecords(source, response, sentAt);
                                 return;
                             }
                             log.write(
@@ -120,13 +126,13 @@
                         });
     }
 
-    private void applyRecords(DaemonReport source, HttpAnswer response) {
+    private void applyRecords(DaemonReport source, HttpAnswer response, Instant sentAt) {
         try {
             GossipMessageCodec.RelayResponse records =
                     GossipMessageCodec.decodeRelayResponse(response.body());
             mirror.apply(Feed.OPERATOR, records.operatorRecords());
             mirror.apply(Feed.TARGETS, records.targetRecords());
-            operatorFreshness.recordRead();
+            operatorFreshness.recordComplete(sentAt);
         } catch (GatewayException exception) {
             log.write(
                     DecisionKind.RECORD_IGNORED,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -123,7 +123,7 @@
                                                                     + millisecondsSince(since))
                                             .orElse("")
                                     + " last-read="
-                                    + millisecondsSince(operatorFreshness.lastReadAt()),
+                                    + millisecondsSince(operatorFreshness.completeUntil()),
                     "version " + weights.version());
         }
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.state;
 
+import java.time.Instant;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.feed.Feed;
@@ -37,20 +38,20 @@
     }
 
     @Override
-    public void onListing(Feed feed, FeedSource.Listing listing) {
+    public void onListing(Feed feed, FeedSource.Listing listing, Instant completeUntil) {
         mirror.apply(feed, listing);
-        recordRead(feed);
+        recordComplete(feed, completeUntil);
     }
 
     @Override
-    public void onPage(Feed feed, FeedSource.Page page) {
+    public void onPage(Feed feed, FeedSource.Page page, Instant completeUntil) {
         mirror.apply(feed, page.records());
-        recordRead(feed);
+        recordComplete(feed, completeUntil);
     }
 
-    private void recordRead(Feed feed) {
+    private void recordComplete(Feed feed, Instant completeUntil) {
         if (feed == Feed.OPERATOR) {
-            operatorFreshness.recordRead();
+            operatorFreshness.recordComplete(completeUntil);
         }
     }
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
@@ -18,6 +18,7 @@
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.route.RouteConfiguration;
+import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -161,10 +162,17 @@
 
         private final ClusterView clusterView =
                 ClusterView.empty(new DaemonId("daemon-1", 1), time, ASSUMED_AGE);
+        private final PauseDetector pauses = new PauseDetector(TOLERANCE, time, pause -> {});
         private final FeedFreshness freshness =
-                new FeedFreshness(MAXIMUM_WAIT.plus(TOLERANCE), time);
+                new FeedFreshness(MAXIMUM_WAIT.plus(TOLERANCE), pauses, time);
+
+        private void recordRuns() {
+            pauses.recordRun();
+            process.schedule(TOLERANCE.dividedBy(2), this::recordRuns);
+        }
 
         private void start() {
+            recordRuns();
             ClusterViewUpdater updater =
                     new ClusterViewUpdater(
                             clusterView,
@@ -181,6 +189,7 @@
                                     new FeedFollower.PollSettings(
                                             Duration.ofMillis(20), MAXIMUM_WAIT),
                             process,
+                            time,
                             () -> 0.5,
                             new MirroringFeedObserver(
                                     new FeedMirror(updater),
