Count an engine of unknown version as outdated like its registered version

Cause: after an answer 421 a daemon forgets the version of the engine's weights. Nothing then excluded the engine: the next request carried no expected version, and could start on weights that had been outdated for longer than the limit, once for each daemon and answer. Change: the limit and the penalty use the registered version where none is known. Versions of an incarnation increase, so that the engine has no older one. Conclusion: what is not known is taken to be as old as it can be.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetState;
@@ -280,11 +279,20 @@
         return most;
     }
 
+    /**
+     * Returns since when the engine's weights have been outdated. An engine of unknown version
+     * counts as having the registered one: versions of an incarnation increase, so that it has no
+     * older one.
+     */
     private Optional<Instant> outdatedSince(RegisteredTarget engine, Requirements requirements) {
-        OptionalInt version = states.getOrCreate(engine.incarnation()).weightVersion();
-        return version.isPresent()
-                ? requirements.outdatedSince().of(version.getAsInt())
-                : Optional.empty();
+        int version =
+                states.getOrCreate(engine.incarnation())
+                        .weightVersion()
+                        .orElseGet(
+                                () ->
+                                        engine.weightVersions()
+                                                .getOrDefault(requirements.prompt().model(), 0));
+        return requirements.outdatedSince().of(version);
     }
 
     /**
