Assume the age of all versions that the first read brings, however late it comes

Cause: a daemon that the store rejects for over four seconds after its start dated the version that it found then by its start, though it may have been in force for long; requests could start on weights that had been outdated for longer than the limit. Versions that were requested in the first four seconds were dated too early instead. Change: a feed that has not been read bounds no date; versions of its first read have the assumed age. Everything after it is dated by the reads.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.bergamothoist.core.time.PauseDetector;
 
 /**
@@ -16,7 +17,7 @@
     private final Duration longestRead;
     private final PauseDetector pauses;
     private final InstantSource clock;
-    private Instant completeUntil;
+    private Optional<Instant> completeUntil = Optional.empty();
 
     /**
      * Creates the freshness of a feed that is about to be read.
@@ -27,27 +28,31 @@
         this.longestRead = longestRead;
         this.pauses = pauses;
         this.clock = clock;
-        this.completeUntil = clock.instant();
     }
 
     /** Records that all records that were published up to the instant are known. */
     public void recordComplete(Instant until) {
-        if (until.isAfter(completeUntil)) {
-            completeUntil = until;
+        if (completeUntil.filter(known -> !until.isAfter(known)).isEmpty()) {
+            completeUntil = Optional.of(until);
         }
     }
 
-    /** Returns the time up to which all published records are known. */
-    public Instant completeUntil() {
+    /**
+     * Returns the time up to which all published records are known; empty before the first read.
+     */
+    public Optional<Instant> completeUntil() {
         return completeUntil;
     }
 
-    /** Returns the earliest time at which records that arrive now can have been published. */
-    public Instant earliestPublication() {
-        Instant now = clock.instant();
-        boolean interrupted =
-                now.isAfter(completeUntil.plus(longestRead))
-                        || pauses.hasPausedSince(completeUntil);
-        return interrupted ? completeUntil : now;
+    /**
+     * Returns the earliest time at which records that arrive now can have been published; empty for
+     * those of the first read, which are of any age.
+     */
+    public Optional<Instant> earliestPublication() {
+        return completeUntil.map(known -> wasInterruptedSince(known) ? known : clock.instant());
+    }
+
+    private boolean wasInterruptedSince(Instant instant) {
+        return clock.instant().isAfter(instant.plus(longestRead)) || pauses.hasPausedSince(instant);
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
@@ -9,51 +9,42 @@
 import java.util.TreeMap;
 
 /**
- * The versions of each model's weights that operators requested, with the times at which this
- * daemon received them. Confined to the control thread.
+ * The versions of each model's weights that operators requested, with the earliest times at which
+ * they can have been requested. Confined to the control thread.
  */
 public final class DesiredWeightVersions {
 
-    /**
-     * Time after the start of this daemon in which it reads versions that were requested earlier.
-     */
-    private static final Duration STARTUP_PERIOD = Duration.ofSeconds(4);
-
     private final InstantSource clock;
     private final Duration assumedAge;
-    private final Instant startedAt;
-    private final Map<String, TreeMap<Integer, Instant>> receivedAtByModel = new HashMap<>();
+    private final Map<String, TreeMap<Integer, Instant>> requestedSinceByModel = new HashMap<>();
 
     /**
      * Creates an empty set of versions.
      *
-     * @param assumedAge assumed age of versions that are received right after the start
+     * @param assumedAge assumed age of versions whose time of request is unknown
      */
     public DesiredWeightVersions(InstantSource clock, Duration assumedAge) {
         this.clock = clock;
         this.assumedAge = assumedAge;
-        this.startedAt = clock.instant();
     }
 
-    /** Adds a version that was requested just now, like {@link #add(String, int, Instant)}. */
+    /** Adds a version that was requested just now, like {@link #add(String, int, Optional)}. */
     public boolean add(String model, int version) {
-        return add(model, version, clock.instant());
+        return add(model, version, Optional.of(clock.instant()));
     }
 
     /**
      * Adds a version if it is newer than the known ones of its model; returns whether it is.
      *
-     * @param requestedSince earliest time at which it can have been requested
+     * @param requestedSince earliest time at which it can have been requested, or empty if unknown
      */
-    public boolean add(String model, int version, Instant requestedSince) {
+    public boolean add(String model, int version, Optional<Instant> requestedSince) {
         TreeMap<Integer, Instant> known =
-                receivedAtByModel.computeIfAbsent(model, key -> new TreeMap<>());
+                requestedSinceByModel.computeIfAbsent(model, key -> new TreeMap<>());
         if (!known.isEmpty() && known.lastKey() >= version) {
             return false;
         }
-        Instant now = clock.instant();
-        boolean requestedBeforeStart = now.isBefore(startedAt.plus(STARTUP_PERIOD));
-        known.put(version, requestedBeforeStart ? now.minus(assumedAge) : requestedSince);
+        known.put(version, requestedSince.orElseGet(() -> clock.instant().minus(assumedAge)));
         return true;
     }
 
@@ -61,7 +52,7 @@
      * Returns when the first version newer than the given one was requested, or empty if none was.
      */
     public Optional<Instant> outdatedSince(String model, int version) {
-        return Optional.ofNullable(receivedAtByModel.get(model))
+        return Optional.ofNullable(requestedSinceByModel.get(model))
                 .map(known -> known.higherEntry(version))
                 .map(Map.Entry::getValue);
     }
@@ -69,7 +60,7 @@
     /** Returns the newest requested version by model. */
     public Map<String, Integer> newestVersions() {
         Map<String, Integer> versions = new HashMap<>();
-        receivedAtByModel.forEach((model, known) -> versions.put(model, known.lastKey()));
+        requestedSinceByModel.forEach((model, known) -> versions.put(model, known.lastKey()));
         return versions;
     }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
@@ -40,8 +41,8 @@
     }
 
     @Test
-    void treatsVersionsReceivedAtStartupAsOlder() {
-        versions.add("m", 3);
+    void assumesAnAgeOfVersionsRequestedAtAnUnknownTime() {
+        versions.add("m", 3, Optional.empty());
         assertThat(versions.outdatedSince("m", 2))
                 .get()
                 .matches(since -> Duration.between(since, time.instant()).toSeconds() >= 8);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterView.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterView.java
@@ -39,8 +39,8 @@
     /**
      * Creates an empty view.
      *
-     * @param assumedVersionAge assumed age of weight versions that are received right after the
-     *     start
+     * @param assumedVersionAge assumed age of weight versions that the first read of the operators'
+     *     feed brings
      */
     public static ClusterView empty(
             DaemonId self, InstantSource clock, Duration assumedVersionAge) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -122,8 +122,10 @@
                                                             " age-at-most="
                                                                     + millisecondsSince(since))
                                             .orElse("")
-                                    + " last-read="
-                                    + millisecondsSince(operatorFreshness.completeUntil()),
+                                    + operatorFreshness
+                                            .completeUntil()
+                                            .map(read -> " last-read=" + millisecondsSince(read))
+                                            .orElse(" first-read"),
                     "version " + weights.version());
         }
     }
