--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -14,9 +15,12 @@
  */
 public final class DesiredWeightVersions {
 
+    /** Number of versions of a model whose dates other daemons are told. */
+    private static final int MAXIMUM_KNOWN_DATES = 32;
+
     private final InstantSource clock;
     private final Duration assumedAge;
-    private final Map<String, TreeMap<Integer, Instant>> requestedSinceByModel = new HashMap<>();
+    private final Map<String, TreeMap<Integer, VersionDate>> datesByModel = new HashMap<>();
 
     /**
      * Creates an empty set of versions.
@@ -28,6 +32,14 @@
         this.assumedAge = assumedAge;
     }
 
+    /**
+     * When a version was requested.
+     *
+     * @param requestedSince earliest time at which it can have been requested
+     * @param assumed whether that time is only assumed
+     */
+    public record VersionDate(String model, int version, Instant requestedSince, boolean assumed) {}
+
     /** Adds a version that was requested just now, like {@link #add(String, int, Optional)}. */
     public boolean add(String model, int version) {
         return add(model, version, Optional.of(clock.instant()));
@@ -39,28 +51,69 @@
      * @param requestedSince earliest time at which it can have been requested, or empty if unknown
      */
     public boolean add(String model, int version, Optional<Instant> requestedSince) {
-        TreeMap<Integer, Instant> known =
-                requestedSinceByModel.computeIfAbsent(model, key -> new TreeMap<>());
+        TreeMap<Integer, VersionDate> known =
+                datesByModel.computeIfAbsent(model, key -> new TreeMap<>());
         if (!known.isEmpty() && known.lastKey() >= version) {
             return false;
         }
-        known.put(version, requestedSince.orElseGet(() -> clock.instant().minus(assumedAge)));
+        boolean assumed = requestedSince.isEmpty();
+        Instant since = requestedSince.orElseGet(() -> clock.instant().minus(assumedAge));
+        known.put(version, new VersionDate(model, version, since, assumed));
         return true;
     }
 
+    /**
+     * Replaces the assumed time of a version's request by one that another daemon knows. Also adds
+     * versions that were followed by newer ones before this daemon started. Versions that are newer
+     * than the known ones are ignored, since only operators' records name them. Returns whether a
+     * date was added or replaced.
+     *
+     * @param requestedSince earliest time at which it can have been requested
+     */
+    public boolean refine(String model, int version, Instant requestedSince) {
+        TreeMap<Integer, VersionDate> known = datesByModel.get(model);
+        if (known == null || version > known.lastKey()) {
+            return false;
+        }
+        VersionDate before = known.get(version);
+        if (before != null && !before.assumed()) {
+            return false;
+        }
+        known.put(version, new VersionDate(model, version, requestedSince, false));
+        return true;
+    }
+
+    /** Returns the dates of the newest versions of each model that are not assumed. */
+    public List<VersionDate> knownDates() {
+        return datesByModel.values().stream()
+                .flatMap(
+                        known ->
+                                known.descendingMap().values().stream()
+                                        .filter(date -> !date.assumed())
+                                        .limit(MAXIMUM_KNOWN_DATES))
+                .toList();
+    }
+
+    /** Returns whether a time of request after the instant is only assumed. */
+    public boolean hasAssumedDateAfter(Instant instant) {
+        return datesByModel.values().stream()
+                .flatMap(known -> known.values().stream())
+                .anyMatch(date -> date.assumed() && date.requestedSince().isAfter(instant));
+    }
+
     /**
      * Returns when the first version newer than the given one was requested, or empty if none was.
      */
     public Optional<Instant> outdatedSince(String model, int version) {
-        return Optional.ofNullable(requestedSinceByModel.get(model))
+        return Optional.ofNullable(datesByModel.get(model))
                 .map(known -> known.higherEntry(version))
-                .map(Map.Entry::getValue);
+                .map(entry -> entry.getValue().requestedSince());
     }
 
     /** Returns the newest requested version by model. */
     public Map<String, Integer> newestVersions() {
         Map<String, Integer> versions = new HashMap<>();
-        requestedSinceByModel.forEach((model, known) -> versions.put(model, known.lastKey()));
+        datesByModel.forEach((model, known) -> versions.put(model, known.lastKey()));
         return versions;
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -236,9 +236,9 @@
         return new RecordRelay(
                 mirror,
                 operatorFreshness,
-                clusterView.daemons(),
-                controlCaller,
-                () -> !isStoreReachable(),
+                clusterView,
+                controlCaller::call,
+                () -> !isStoreReachable() || needsVersionDates(),
                 scheduler,
                 clock,
                 random,
@@ -436,6 +436,14 @@
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
 
+    /** Returns whether requests may still start on weights whose age is only assumed. */
+    private boolean needsVersionDates() {
+        Duration longestOutdated = Duration.ofMillis(settings.longestOutdatedMilliseconds());
+        return clusterView
+                .desiredWeightVersions()
+                .hasAssumedDateAfter(clock.instant().minus(longestOutdated));
+    }
+
     private int retryReserve() {
         return (int) (settings.retrySlack() * RETRY_SLACK_SHARE / callerDaemons.count());
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
@@ -15,6 +15,9 @@
 /** Encodes and decodes the Protocol Buffers messages between daemons. */
 final class GossipMessageCodec {
 
+    /** Age above which a message is malformed: longer than any process runs. */
+    private static final Duration MAXIMUM_AGE = Duration.ofDays(36_500);
+
     private GossipMessageCodec() {}
 
     static byte[] encode(DaemonReport report) {
@@ -105,16 +108,42 @@
         }
     }
 
-    /** Records after the requested offsets. */
-    record RelayResponse(List<FeedRecord> operatorRecords, List<FeedRecord> targetRecords) {}
+    /**
+     * Longest time for which a version of a model's weights can have been requested.
+     *
+     * @param age time until the daemon that knows it responded
+     */
+    record WeightVersionAge(String model, int version, Duration age) {}
+
+    /**
+     * Records after the requested offsets.
+     *
+     * @param weightVersions ages of versions that the responding daemon does not only assume
+     * @param operatorAge time since when operators' records may be missing; empty if unknown
+     */
+    record RelayResponse(
+            List<FeedRecord> operatorRecords,
+            List<FeedRecord> targetRecords,
+            List<WeightVersionAge> weightVersions,
+            Optional<Duration> operatorAge) {}
 
     static byte[] encode(RelayResponse response) {
         var builder = GatewayMessages.RelayAnswer.newBuilder();
         response.operatorRecords().forEach(record -> builder.addOperatorRecords(encode(record)));
         response.targetRecords().forEach(record -> builder.addTargetRecords(encode(record)));
+        response.weightVersions().forEach(version -> builder.addWeightVersions(encode(version)));
+        response.operatorAge().ifPresent(age -> builder.setOperatorAgeMilliseconds(age.toMillis()));
         return builder.build().toByteArray();
     }
 
+    private static GatewayMessages.WeightVersionDate encode(WeightVersionAge version) {
+        return GatewayMessages.WeightVersionDate.newBuilder()
+                .setModel(version.model())
+                .setVersion(version.version())
+                .setAgeMilliseconds(version.age().toMillis())
+                .build();
+    }
+
     private static GatewayMessages.RelayedRecord encode(FeedRecord record) {
         var builder =
                 GatewayMessages.RelayedRecord.newBuilder()
@@ -134,12 +163,34 @@
                             .toList(),
                     response.getTargetRecordsList().stream()
                             .map(GossipMessageCodec::decode)
-                            .toList());
+                            .toList(),
+                    response.getWeightVersionsList().stream()
+                            .map(GossipMessageCodec::decode)
+                            .toList(),
+                    response.hasOperatorAgeMilliseconds()
+                            ? Optional.of(decodeAge(response.getOperatorAgeMilliseconds()))
+                            : Optional.empty());
         } catch (InvalidProtocolBufferException exception) {
             throw malformed(exception);
         }
     }
 
+    private static WeightVersionAge decode(GatewayMessages.WeightVersionDate date) {
+        return new WeightVersionAge(
+                date.getModel(), date.getVersion(), decodeAge(date.getAgeMilliseconds()));
+    }
+
+    private static Duration decodeAge(long milliseconds) {
+        if (milliseconds < 0 || milliseconds > MAXIMUM_AGE.toMillis()) {
+            throw new GatewayException(
+                    ErrorCode.INVALID_PEER_MESSAGE,
+                    "an age in a message from another daemon is out of range: "
+                            + Long.toUnsignedString(milliseconds)
+                            + " ms");
+        }
+        return Duration.ofMillis(milliseconds);
+    }
+
     private static FeedRecord decode(GatewayMessages.RelayedRecord record) {
         Optional<byte[]> value =
                 record.hasValue() ? Optional.of(record.getValue().toByteArray()) : Optional.empty();
