Take the store to be down for all only if no daemon may read it unseen

While all visible daemons report that they do not reach the store, versions count as requested after the outage. That was concluded also where a daemon had just fallen silent, which may read on behind a cut; from reports that had waited in a paused process; before the first read; and up to the present, though reports are older. Versions could be dated late by the length of the cut. Change: a class of its own with these conditions; the time that is known ends with the oldest report. Evidence: CommonOutageDetectorTest 9 of 9; with the conditions of before in a scratch copy 5 of 9 fail. Conclusion: after an outage for all, versions may be dated 1.6 s too early.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
@@ -21,7 +21,7 @@
 public final class DaemonDirectory {
 
     /** Shortest time without a report after which a daemon no longer counts as alive. */
-    static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_600);
+    public static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_600);
 
     /** Delay of a report that does not make its daemon count as silent. */
     private static final Duration REPORT_DELAY_TOLERANCE = Duration.ofMillis(600);
@@ -75,11 +75,22 @@
     public List<DaemonReport> aliveReports() {
         Instant now = clock.instant();
         return latestByName.values().stream()
-                .filter(known -> !now.isAfter(known.at().plus(livenessTimeout(known.report()))))
+                .filter(known -> isAlive(known, now))
                 .map(ReceivedReport::report)
                 .toList();
     }
 
+    /** Returns whether a daemon that was alive at the instant no longer is. */
+    public boolean hasFallenSilentSince(Instant instant) {
+        Instant now = clock.instant();
+        return latestByName.values().stream()
+                .anyMatch(known -> isAlive(known, instant) && !isAlive(known, now));
+    }
+
+    private static boolean isAlive(ReceivedReport known, Instant instant) {
+        return !instant.isAfter(known.at().plus(livenessTimeout(known.report())));
+    }
+
     /** Returns the time without a report after which two reports of the daemon were lost. */
     private static Duration livenessTimeout(DaemonReport report) {
         Duration twoReports =
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -62,6 +62,7 @@
 import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.ClusterViewUpdater;
+import org.bergamothoist.gateway.state.CommonOutageDetector;
 import org.bergamothoist.gateway.state.MirroringFeedObserver;
 
 /** One daemon: wires its parts, starts them and stops them. All parts run on one event loop. */
@@ -134,6 +135,7 @@
     private final StreamMigrator departure;
     private final ReportExchange reports;
     private final RecordRelay relay;
+    private final CommonOutageDetector commonOutage;
     private final OrderLease lease;
     private final WeightRollout rollout;
     private final CacheEventPollers caches;
@@ -192,6 +194,7 @@
                         clock,
                         log);
         this.relay = createRelay(mirror, controlCaller);
+        this.commonOutage = createCommonOutageDetector();
         this.peers =
                 new AuxiliaryHttpServer(
                         eventLoop,
@@ -245,6 +248,11 @@
                 log);
     }
 
+    private CommonOutageDetector createCommonOutageDetector() {
+        return new CommonOutageDetector(
+                clusterView.daemons(), operatorFreshness, pauses, operatorFeed::isReachable, clock);
+    }
+
     private WeightRollout createRollout(EngineOrderClient orderClient) {
         return new WeightRollout(
                 self.name(),
@@ -398,9 +406,7 @@
     private void checkLapsed() {
         pauses.recordRun();
         updater.removeLapsedTargets();
-        if (isStoreDownForAll()) {
-            operatorFreshness.recordComplete(clock.instant());
-        }
+        commonOutage.update();
         scheduler.schedule(LAPSE_CHECK, this::checkLapsed);
     }
 
@@ -421,17 +427,6 @@
         reports.onDispatched(state);
     }
 
-    /**
-     * Returns whether other daemons are alive and none of them reads the store either: operators
-     * then publish nothing that this daemon misses.
-     */
-    private boolean isStoreDownForAll() {
-        List<DaemonReport> others = clusterView.daemons().aliveReports();
-        return !operatorFeed.isReachable()
-                && !others.isEmpty()
-                && others.stream().noneMatch(DaemonReport::storeReachable);
-    }
-
     private boolean isStoreReachable() {
         return operatorFeed.isReachable() && targetsFeed.isReachable();
     }
