Date versions by the last read also after short rejections by the store

Cause: while the store rejects a daemon for less than 1.9 s less the wait of its last read, a version published meanwhile was dated by the next read, up to that much late. Change: a failed read is an interruption, however short. A common outage extends the known time, but does not end the interruption. Conclusion: what remains undetected is a pause of up to half a second, and a suspension of the VM of up to one second, which only the wall clock shows.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
@@ -18,6 +18,7 @@
     private final PauseDetector pauses;
     private final InstantSource clock;
     private Optional<Instant> completeUntil = Optional.empty();
+    private boolean failedSinceRead;
 
     /**
      * Creates the freshness of a feed that is about to be read.
@@ -30,8 +31,19 @@
         this.clock = clock;
     }
 
-    /** Records that all records that were published up to the instant are known. */
+    /** Records that a read failed, so that records may be published unseen. */
+    public void recordFailure() {
+        failedSinceRead = true;
+    }
+
+    /** Records a read after which all records that were published up to the instant are known. */
     public void recordComplete(Instant until) {
+        failedSinceRead = false;
+        recordNothingPublished(until);
+    }
+
+    /** Records that nothing was published between the last read and the instant. */
+    public void recordNothingPublished(Instant until) {
         if (completeUntil.filter(known -> !until.isAfter(known)).isEmpty()) {
             completeUntil = Optional.of(until);
         }
@@ -53,6 +65,8 @@
     }
 
     private boolean wasInterruptedSince(Instant instant) {
-        return clock.instant().isAfter(instant.plus(longestRead)) || pauses.hasPausedSince(instant);
+        return failedSinceRead
+                || clock.instant().isAfter(instant.plus(longestRead))
+                || pauses.hasPausedSince(instant);
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CommonOutageDetector.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CommonOutageDetector.java
@@ -47,7 +47,7 @@
      */
     public void update() {
         if (isStoreDownForAll()) {
-            operatorFreshness.recordComplete(
+            operatorFreshness.recordNothingPublished(
                     clock.instant().minus(DaemonDirectory.LIVENESS_TIMEOUT));
         }
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
@@ -57,6 +57,9 @@
 
     @Override
     public void onUnavailable(Feed feed, Throwable cause) {
+        if (feed == Feed.OPERATOR) {
+            operatorFreshness.recordFailure();
+        }
         if (feed == Feed.TARGETS) {
             targets.onStoreUnavailable();
         }
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
@@ -23,6 +23,7 @@
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against weight versions that are dated later than operators requested them, so that
@@ -241,6 +242,26 @@
         assertThat(daemon.outdatedSince(1)).isBeforeOrEqualTo(publishedAt.plus(TOLERANCE));
     }
 
+    /**
+     * Guards against a daemon that dates a version by the end of a time in which the store rejected
+     * its reads, because that time was short.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 400, 700, 1_500, 1_800, 5_000})
+    void versionPublishedWhileReadsAreRejectedIsNotDatedByTheNextRead(long sinceRejection) {
+        store.publish(1);
+        Daemon daemon = startDaemon();
+        time.advance(STARTED_AGO);
+        store.rejecting = true;
+        time.advance(MAXIMUM_WAIT);
+        Instant publishedAt = time.instant();
+        store.publish(2);
+        time.advanceMillis(sinceRejection);
+        store.rejecting = false;
+        time.advanceMillis(5_000);
+        assertThat(daemon.outdatedSince(1)).isBeforeOrEqualTo(publishedAt.plus(TOLERANCE));
+    }
+
     /**
      * Guards against a daemon that the store rejects for some time after its start, and that dates
      * versions from before its start by its start or by its first read.
