Report only loads of weights by own orders, and keep marks of several daemons apart

What callers see: while the holder of the order lease is cut off from the store or does not know yet that it has lost the lease, engines that the new holder has loaded can stay out of use, so that the others are loaded more or answer on older weights. Other engines get requests just before they load. Cause: an engine had one mark "loading weights", set by own orders and by reports alike, and a daemon that claims the lease reported it whatever its origin. Such a daemon stays "holder" by its own state until it reads the store. Two of them set each other's mark again for 1.5 s from each receipt, not from the order; and a report of one without the mark cleared the mark of the other. Fix: a daemon reports a mark only for its own orders, and a report replaces only the mark of the daemon that sent it, so that a mark ends with its daemon's reports.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetState.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetState.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalInt;
 
 /**
@@ -24,6 +26,7 @@
     private final OutstandingWork load = new OutstandingWork();
     private OptionalInt weightVersion = OptionalInt.empty();
     private Instant changingWeightsUntil = Instant.EPOCH;
+    private final Map<String, Instant> reportedChangesUntil = new HashMap<>();
     private Instant pausedUntil = Instant.EPOCH;
     private Instant lastReceivedAt = Instant.EPOCH;
 
@@ -68,11 +71,19 @@
         }
     }
 
-    /** Records that the target is expected to load weights until the instant. */
+    /** Records that this daemon expects the target to load weights by its orders until then. */
     public void setChangingWeightsUntil(Instant until) {
         changingWeightsUntil = until;
     }
 
+    /**
+     * Records that another daemon expects the target to load weights by its orders until then.
+     * Replaces what the same daemon reported before.
+     */
+    public void setReportedChangeUntil(String daemon, Instant until) {
+        reportedChangesUntil.put(daemon, until);
+    }
+
     /** Records that the target refused a request without running it. */
     public void recordRefusal(Instant now) {
         pausedUntil = now.plus(REFUSAL_PAUSE);
@@ -93,13 +104,17 @@
      * loads no weights and has not refused a request just now.
      */
     public boolean isAccepting(Instant now) {
-        return health.isUsable(now)
-                && !now.isBefore(changingWeightsUntil)
-                && !now.isBefore(pausedUntil);
+        return health.isUsable(now) && !isChangingWeights(now) && !now.isBefore(pausedUntil);
     }
 
     /** Returns whether the target is presumably loading weights. */
     public boolean isChangingWeights(Instant now) {
+        return isChangingWeightsByOwnOrder(now)
+                || reportedChangesUntil.values().stream().anyMatch(now::isBefore);
+    }
+
+    /** Returns whether the target is presumably loading weights by an order of this daemon. */
+    public boolean isChangingWeightsByOwnOrder(Instant now) {
         return now.isBefore(changingWeightsUntil);
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonReport.java
@@ -49,7 +49,8 @@
      * @param requests number of the reporting daemon's outstanding requests
      * @param prefillTokens prompt tokens of these requests that the target has not prefilled yet
      * @param weightVersion version of the weights that was observed, or 0 if unknown
-     * @param changingWeights whether the target is loading weights
+     * @param changingWeights whether the target is loading weights by an order of the reporting
+     *     daemon
      */
     public record TargetReport(
             String target,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportExchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ReportExchange.java
@@ -228,7 +228,7 @@
             TargetState state = clusterView.targetStates().getOrCreate(target.incarnation());
             boolean nothingToReport =
                     state.load().ownRequests() == 0
-                            && !state.isChangingWeights(now)
+                            && !state.isChangingWeightsByOwnOrder(now)
                             && isVersionRegistered(target, state);
             if (!nothingToReport && filter.test(state)) {
                 reports.add(
@@ -238,7 +238,7 @@
                                 state.load().ownRequests(),
                                 state.load().ownPrefillTokens(),
                                 state.weightVersion().orElse(0),
-                                state.isChangingWeights(now)));
+                                state.isChangingWeightsByOwnOrder(now)));
             }
         }
         return reports;
@@ -309,19 +309,20 @@
                                     state.raiseWeightVersion(target.weightVersion());
                                 }
                                 if (report.orderHolder()) {
-                                    applyChangingWeights(state, target, now);
+                                    applyChangingWeights(
+                                            state, report.daemon().name(), target, now);
                                 }
                             });
         }
 
         private void applyChangingWeights(
-                TargetState state, DaemonReport.TargetReport target, Instant now) {
+                TargetState state, String daemon, DaemonReport.TargetReport target, Instant now) {
             boolean alreadyChanging = state.isChangingWeights(now);
             if (!target.changingWeights()) {
-                state.setChangingWeightsUntil(now);
+                state.setReportedChangeUntil(daemon, now);
                 return;
             }
-            state.setChangingWeightsUntil(now.plus(CHANGING_WEIGHTS_TTL));
+            state.setReportedChangeUntil(daemon, now.plus(CHANGING_WEIGHTS_TTL));
             if (!alreadyChanging) {
                 onLoadingWeights.accept(target.target());
             }
