Count time in suspension against the time in which an order may be sent

What callers see: nothing directly. An engine can get an order of a daemon whose lease has passed to another one, which loads it at a wrong moment; where engines check no fences that breaks the distance between two holders' orders. Cause: the right to send ends at an instant of the daemon's clock, but HttpCaller measured the time left with System.nanoTime, which does not include a suspension of the machine. Fix: the deadline is an instant of the pool's clock, which jumps ahead after a suspension.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -53,6 +53,10 @@
         this.opened = metrics.counter("connections-opened." + name);
     }
 
+    InstantSource clock() {
+        return clock;
+    }
+
     Duration defaultIdleTime() {
         return settings.idleTime();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -87,7 +88,7 @@
     private final class Pending implements AnswerListener {
 
         private final Call call;
-        private final long sendBefore;
+        private final Instant sendBefore;
         private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final io.netty.util.concurrent.Future<?> timer;
@@ -97,7 +98,8 @@
 
         private Pending(Call call, Duration sendWithin) {
             this.call = call;
-            this.sendBefore = System.nanoTime() + sendWithin.toNanos();
+            // System.nanoTime does not include the time in which the machine was suspended.
+            this.sendBefore = pool.clock().instant().plus(sendWithin);
             this.timer =
                     eventLoop.schedule(
                             this::timeOut, call.timeout().toMillis(), TimeUnit.MILLISECONDS);
@@ -116,7 +118,7 @@
                 return;
             }
             connection = opened;
-            if (System.nanoTime() - sendBefore > 0) {
+            if (pool.clock().instant().isAfter(sendBefore)) {
                 fail("not sent: the connection opened too late");
             }
             if (answer.isDone()) {
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -30,6 +30,7 @@
     private EventLoop eventLoop;
     private ServerSocket server;
     private HttpCaller caller;
+    private volatile Duration suspendedFor = Duration.ZERO;
 
     @BeforeEach
     void create() throws IOException {
@@ -40,7 +41,7 @@
                 new ConnectionPool(
                         "test",
                         eventLoop,
-                        InstantSource.system(),
+                        () -> InstantSource.system().instant().plus(suspendedFor),
                         new ConnectionPool.Settings(TIMEOUT, TIMEOUT, Duration.ZERO),
                         new MetricRegistry());
         caller = new HttpCaller(pool, eventLoop);
@@ -92,6 +93,20 @@
         }
     }
 
+    /**
+     * Guards against an order that is sent too late by a daemon that was suspended while it
+     * connected: the system's elapsed time does not include a suspension.
+     */
+    @Test
+    void timeInSuspensionCountsAgainstTheTimeToSend() throws Exception {
+        CompletableFuture<HttpAnswer> answer = call(Duration.ofSeconds(5));
+        eventLoop.execute(() -> suspendedFor = Duration.ofSeconds(6));
+        try (Socket accepted = server.accept()) {
+            assertThat(accepted.getInputStream().read()).isNegative();
+        }
+        assertThatThrownBy(answer::join).hasMessageContaining("not sent");
+    }
+
     @Test
     void callIsSentWithinItsTime() throws Exception {
         CompletableFuture<HttpAnswer> answer = call(TIMEOUT);
