Prepare an engine again for its load if its mark has lapsed meanwhile

What callers see: after the holder of the order lease was frozen, requests that an engine has queued are refused with 503 and sent again, since the engine is ordered to load without preparation. Cause: the preparation was dated by its start alone. The mark that keeps requests off the engine lasts 1.5 s at the other daemons, so that during a longer freeze, or while the lease cannot be renewed, they go on to use it; the daemon counted that time as time without new requests. Fix: a preparation ends when the daemon's mark on the engine has lapsed, and is planned again.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -123,8 +123,9 @@
         scheduler.schedule(PLANNING_INTERVAL, this::planAndOrder);
         Map<String, Integer> newest = clusterView.desiredWeightVersions().newestVersions();
         Instant now = clock.instant();
-        List<RolloutPlanner.EngineRolloutState> engines = engines(newest, now);
         progressByEngine.keySet().removeIf(incarnation -> !isRegistered(incarnation));
+        progressByEngine.forEach((engine, progress) -> endLapsedPreparation(engine, progress, now));
+        List<RolloutPlanner.EngineRolloutState> engines = engines(newest, now);
         boolean outdated =
                 engines.stream().anyMatch(engine -> RolloutPlanner.isOutdated(engine, newest));
         boolean preparing =
@@ -148,6 +149,17 @@
         orderPrepared(newest, maximumLoads, now);
     }
 
+    /**
+     * Ends the preparation of an engine that is no longer marked as changing weights, because this
+     * daemon was frozen or could not use the lease: the engine has got requests since.
+     */
+    private void endLapsedPreparation(
+            TargetIncarnation engine, LoadProgress progress, Instant now) {
+        if (!clusterView.targetStates().getOrCreate(engine).isChangingWeights(now)) {
+            progress.preparationStartedAt = null;
+        }
+    }
+
     private LoadConcurrency.Situation situation(
             List<RolloutPlanner.EngineRolloutState> engines,
             Map<String, Integer> newest,
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -39,14 +40,18 @@
     /** Loads that eight engines may run at once: a quarter of them. */
     private static final int MAXIMUM_LOADS_OF_EIGHT = 2;
 
+    private static final Duration MINIMUM_PREPARATION_TIME = Duration.ofMillis(250);
+
     private static final Duration REPORT_AGE = Duration.ofMillis(300);
     private static final Duration STEP = Duration.ofMillis(50);
     private static final String MODEL = "m";
     private static final Pattern LOAD_MILLISECONDS = Pattern.compile("load-milliseconds=(\\d+)");
 
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private Duration frozenFor = Duration.ZERO;
+    private final InstantSource clock = () -> time.instant().plus(frozenFor);
     private final ClusterView clusterView =
-            ClusterView.empty(new DaemonId("daemon-1", 1), time, Duration.ZERO);
+            ClusterView.empty(new DaemonId("daemon-1", 1), clock, Duration.ZERO);
     private final Map<String, FakeEngine> engines = new HashMap<>();
     private final Map<String, Instant> migratedAt = new HashMap<>();
     private final StreamMigrator migrator =
@@ -165,7 +170,7 @@
                         "daemon-1",
                         new UncontestedLeaseTopic(),
                         Duration.ofSeconds(3),
-                        time,
+                        clock,
                         (kind, subject, inputs, outcome) -> {});
         new WeightRollout(
                         "daemon-1",
@@ -175,7 +180,7 @@
                         new WeightRollout.Limits(RolloutSettings.DEFAULT, longestOutdated, 75),
                         engine -> migrator.scheduleMigration(engine.id()),
                         time,
-                        time,
+                        clock,
                         this::recordEstimate)
                 .start();
     }
@@ -297,4 +302,22 @@
                 .isNotEmpty()
                 .allMatch(milliseconds -> milliseconds >= SPECIFIED_LOAD_TIME.toMillis());
     }
+
+    /**
+     * Guards against orders to engines that have got requests meanwhile: while a daemon is frozen
+     * during a preparation, other daemons go on to use the engine once its mark has lapsed.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1_600, 3_000, 8_000})
+    void engineIsPreparedAgainAfterAFreeze(int freezeMilliseconds) {
+        start(2, Duration.ZERO);
+        Duration beforeOrder = Duration.ofMillis(300);
+        run(beforeOrder);
+        assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 0);
+        frozenFor = Duration.ofMillis(freezeMilliseconds);
+        run(MINIMUM_PREPARATION_TIME);
+        assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 0);
+        run(SPECIFIED_LOAD_TIME.multipliedBy(2));
+        assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 1);
+    }
 }
