Start the grace period of a relayed removal when it is read, not at the own access to the store

What callers see: while a daemon alone is cut off from the store, it goes on sending requests to targets that have left, for the whole cut and 2 s after it; these requests fail or are late. Cause: a removal that is learned while the own reads fail was kept until 2 s after these succeed again, as if nobody had reached the store. But such a removal comes from a daemon that reads the store, so that live targets can renew from then on. Evidence: TargetRegistryTest before: 3 of 14 failed, the cases with the removal read 0.5 s or more before the own access to the store, or during the cut (expected "t", found nothing). After: 14 of 14. By the constants, not measured: the own access returns up to 1.1 s after a cut (700 ms for a connection, 400 ms pause), and lapsed targets are checked every 250 ms, so that the removal took effect up to 3.4 s after the cut; a machine counts as in touch 3 s after it. Fix: a removal that another daemon has read takes effect 2 s after it was learned. Removals that the daemon reads itself keep the period from its access to the store.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -14,7 +14,8 @@
  *
  * <p>A registration that ends while the platform's store is unavailable may have lapsed only
  * because the target could not renew it. Such a target stays in use until {@link #RENEWAL_GRACE}
- * after the store is available again.
+ * after the store is available again. If another daemon reads the end of the registration while
+ * this one cannot read the store, the store is available to others, and the period starts at once.
  */
 public final class TargetRegistry {
 
@@ -94,6 +95,7 @@
         }
         if (!known.target.leaving() && mayHaveLapsed()) {
             known.lapsed = true;
+            known.inUseUntil = storeUnavailable ? clock.instant().plus(RENEWAL_GRACE) : Instant.MAX;
             return Change.LAPSED;
         }
         entries.remove(id);
@@ -123,12 +125,12 @@
      * targets.
      */
     public List<String> removeLapsed() {
-        if (mayHaveLapsed()) {
-            return List.of();
-        }
+        Instant now = clock.instant();
+        boolean gracePeriodOver = !mayHaveLapsed();
         List<String> removed =
                 entries.values().stream()
                         .filter(entry -> entry.lapsed)
+                        .filter(entry -> gracePeriodOver || !now.isBefore(entry.inUseUntil))
                         .map(entry -> entry.target.id())
                         .toList();
         removed.forEach(entries::remove);
@@ -159,6 +161,9 @@
         private long reportNumber;
         private boolean lapsed;
 
+        /** End of the grace period if another daemon has read the end of the registration. */
+        private Instant inUseUntil = Instant.MAX;
+
         private Entry(RegisteredTarget target, long reportNumber) {
             this.target = target;
             this.reportNumber = reportNumber;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -69,6 +69,36 @@
         assertThat(registry.accepting("service")).isEmpty();
     }
 
+    /**
+     * Guards against requests to a target that left while this daemon alone was cut off from the
+     * store: other daemons read its removal then, so that live targets could renew.
+     */
+    @ParameterizedTest
+    @CsvSource({"100, 100", "100, 1500", "3000, 0", "8000, 500"})
+    void removalReadByAnotherDaemonDoesNotWaitForTheOwnAccess(long untilRemoval, long untilAccess) {
+        registry.register(target("t", 1, false), 1);
+        registry.onStoreUnavailable();
+        time.advanceMillis(untilRemoval);
+        assertThat(registry.remove("t")).isEqualTo(TargetRegistry.Change.LAPSED);
+        time.advanceMillis(untilAccess);
+        registry.onStoreAvailable();
+        time.advanceMillis(1_900 - untilAccess);
+        assertThat(registry.removeLapsed()).isEmpty();
+        time.advanceMillis(200);
+        assertThat(registry.removeLapsed()).containsExactly("t");
+    }
+
+    /** The same for a target that left long before the daemon reaches the store again. */
+    @Test
+    void removalReadByAnotherDaemonTakesEffectDuringTheCut() {
+        registry.register(target("t", 1, false), 1);
+        registry.onStoreUnavailable();
+        registry.remove("t");
+        time.advanceMillis(2_100);
+        assertThat(registry.removeLapsed()).containsExactly("t");
+        assertThat(registry.accepting("service")).isEmpty();
+    }
+
     @Test
     void renewedRegistrationIsNoLongerLapsed() {
         registry.register(target("t", 1, false), 1);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -221,9 +221,7 @@
         targetConnections.closeIdle(address);
     }
 
-    /**
-     * Removes targets whose registrations were not renewed after the store became available again.
-     */
+    /** Removes targets whose registrations were not renewed within the grace period. */
     public void removeLapsedTargets() {
         for (String id : clusterView.targets().removeLapsed()) {
             clusterView.targetStates().remove(id);
@@ -231,7 +229,7 @@
                     DecisionKind.TARGET_CHANGED,
                     id,
                     () ->
-                            "registration not renewed since the store became available again, now="
+                            "registration not renewed within the grace period, now="
                                     + clock.instant(),
                     "REMOVED");
         }
