Keep the state of an engine's newest run when a result of an older run is late

What callers see: answers on outdated weights, possibly later than the limit after a newer version was requested (VERSION), after an engine has crashed and started again under its name during its load. Cause: the holder of the order lease follows a load for up to 8 s and looks the engine's state up by the run that it ordered. TargetStateTable replaced the state of the newer run by an empty one for the older run, and then that by another empty one for the newer run, so that its version, load and health were lost. A request to an engine of unknown version has no limit and no expected version. It stayed unknown until an answer or a changed registration, and was lost again with the next poll. Fix: the state of a run replaces only that of a run that started earlier, the order in which TargetRegistry accepts registrations; for an older run the table returns a state that is not kept.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetStateTable.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetStateTable.java
@@ -13,7 +13,8 @@
 
     /**
      * Returns the state of an incarnation, which is created if necessary and then replaces that of
-     * another incarnation of the target.
+     * an older incarnation of the target. For an incarnation that is older than the known one,
+     * returns a state that is not kept.
      */
     public TargetState getOrCreate(TargetIncarnation incarnation) {
         TargetState known = states.get(incarnation.id());
@@ -21,7 +22,9 @@
             return known;
         }
         TargetState created = new TargetState(incarnation);
-        states.put(incarnation.id(), created);
+        if (known == null || incarnation.startedAt().isAfter(known.incarnation().startedAt())) {
+            states.put(incarnation.id(), created);
+        }
         return created;
     }
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -320,4 +320,34 @@
         run(SPECIFIED_LOAD_TIME.multipliedBy(2));
         assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 1);
     }
+
+    /**
+     * Guards against an engine of unknown version: one that restarts under its name while it loads,
+     * with the version that it had before, while the order of its run before is still followed.
+     */
+    @Test
+    void versionOfAnEngineThatRestartsDuringItsLoadStaysKnown() {
+        start(1, Duration.ZERO);
+        run(Duration.ofSeconds(2));
+        assertThat(engines.get("engine-0").acceptedOrders).isEqualTo(1);
+        TargetIncarnation restarted = new TargetIncarnation("engine-0", time.instant());
+        clusterView
+                .targets()
+                .register(
+                        new RegisteredTarget(
+                                restarted,
+                                "engines",
+                                "10.0.0.0:80",
+                                "a",
+                                128,
+                                false,
+                                Map.of(MODEL, 1)),
+                        1);
+        clusterView.targetStates().getOrCreate(restarted).observeWeightVersion(1);
+        for (int step = 0; step < 20; step++) {
+            run(STEP);
+            assertThat(clusterView.targetStates().getOrCreate(restarted).weightVersion())
+                    .isPresent();
+        }
+    }
 }
