Keep the times at which versions were requested with the order lease

Cause: when all daemons lose their power together late in a rollout, no daemon knows when a version was requested. All assume 7.5 s, and go on sending requests to engines on old weights past the limit. The answers of other daemons do not help, as they only assume it, too. Change: the holder of the order lease writes the times that it knows into the record that it appends anyway; who reads the log takes times from it that it only assumes, and the other daemons ask that one. A time by another daemon's clock never makes a version younger than assumed. Conclusion: no further call to the store. A version that no holder has written yet is still assumed to be half of the limit old.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
@@ -1,5 +1,7 @@
 package org.bergamothoist.core.lease;
 
+import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
@@ -20,8 +22,21 @@
      * @param holder name of the daemon
      * @param fencingNumber fencing number of the holder, which increases with every change of
      *     holder
+     * @param versions weight versions that the holder rolls out and those before them
      */
-    record Holding(String holder, long fencingNumber) {}
+    record Holding(String holder, long fencingNumber, List<RequestedVersion> versions) {
+
+        public Holding {
+            versions = List.copyOf(versions);
+        }
+    }
+
+    /**
+     * A requested version of a model's weights.
+     *
+     * @param requestedSince earliest time of the request by the clock of the daemon that wrote it
+     */
+    record RequestedVersion(String model, int version, Instant requestedSince) {}
 
     /** Reads the newest record; completes exceptionally if the store cannot be reached. */
     CompletionStage<Tail> read();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bergamothoist.core.decision.DecisionKind;
@@ -37,6 +38,7 @@
 
     private final String self;
     private final LeaseTopic topic;
+    private final VersionDates versionDates;
     private final Duration duration;
     private final InstantSource clock;
     private final DecisionLog log;
@@ -49,6 +51,19 @@
     private Instant renewedAt = Instant.EPOCH;
     private long fencingNumber;
 
+    /**
+     * Times at which weight versions were requested. Holders keep them in the log, so that they
+     * outlast a restart of all daemons.
+     */
+    public interface VersionDates {
+
+        /** Returns the versions whose times this daemon knows. */
+        List<LeaseTopic.RequestedVersion> known();
+
+        /** Handles versions that a holder has written to the log. */
+        void onRead(List<LeaseTopic.RequestedVersion> versions);
+    }
+
     /**
      * Creates a lease that is not held.
      *
@@ -58,11 +73,13 @@
     public OrderLease(
             String self,
             LeaseTopic topic,
+            VersionDates versionDates,
             Duration duration,
             InstantSource clock,
             DecisionLog log) {
         this.self = self;
         this.topic = topic;
+        this.versionDates = versionDates;
         this.duration = duration;
         this.clock = clock;
         this.log = log;
@@ -179,6 +196,7 @@
         }
         tailKnown = true;
         tail = read;
+        read.newest().ifPresent(holding -> versionDates.onRead(holding.versions()));
         if (fencingNumber > 0 && !isHeldBySelf()) {
             log.write(
                     DecisionKind.LEASE_CHANGED,
@@ -193,7 +211,7 @@
         storeCallPending = true;
         long end = tail.end();
         long number = renewal ? fencingNumber : end + 1;
-        LeaseTopic.Holding holding = new LeaseTopic.Holding(self, number);
+        LeaseTopic.Holding holding = new LeaseTopic.Holding(self, number, versionDates.known());
         topic.append(holding, end)
                 .whenComplete(
                         (newEnd, failure) -> {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
@@ -83,6 +83,20 @@
         return true;
     }
 
+    /**
+     * Like {@link #refine} for a time by the clock of another daemon, which may be ahead: the
+     * version does not become younger than assumed.
+     */
+    public boolean refineByOtherClock(String model, int version, Instant requestedSince) {
+        Instant assumed = clock.instant().minus(assumedAge);
+        TreeMap<Integer, VersionDate> known = datesByModel.getOrDefault(model, new TreeMap<>());
+        Instant latest =
+                Optional.ofNullable(known.get(version))
+                        .map(VersionDate::requestedSince)
+                        .orElse(assumed);
+        return refine(model, version, requestedSince.isBefore(latest) ? requestedSince : latest);
+    }
+
     /** Returns the dates of the newest versions of each model that are not assumed. */
     public List<VersionDate> knownDates() {
         return datesByModel.values().stream()
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
@@ -21,11 +21,39 @@
 
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final FakeTopic topic = new FakeTopic();
+    private final FakeVersionDates dates = new FakeVersionDates();
     private final OrderLease first = lease("first");
     private final OrderLease second = lease("second");
 
     private OrderLease lease(String name) {
-        return new OrderLease(name, topic, LEASE, time, (kind, subject, inputs, outcome) -> {});
+        return new OrderLease(
+                name, topic, dates, LEASE, time, (kind, subject, inputs, outcome) -> {});
+    }
+
+    private static final class FakeVersionDates implements OrderLease.VersionDates {
+
+        private final List<LeaseTopic.RequestedVersion> known = new ArrayList<>();
+        private final List<LeaseTopic.RequestedVersion> read = new ArrayList<>();
+
+        @Override
+        public List<LeaseTopic.RequestedVersion> known() {
+            return known;
+        }
+
+        @Override
+        public void onRead(List<LeaseTopic.RequestedVersion> versions) {
+            read.addAll(versions);
+        }
+    }
+
+    /** Guards against times of requests that are lost when all daemons restart together. */
+    @Test
+    void logKeepsTheTimesOfRequestsForTheNextReader() {
+        dates.known.add(new LeaseTopic.RequestedVersion("m", 2, time.instant()));
+        run(first, 200);
+        assertThat(dates.read).isEmpty();
+        lease("restarted").acquireOrRenew();
+        assertThat(dates.read).containsExactlyElementsOf(dates.known);
     }
 
     private final class FakeTopic implements LeaseTopic {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/rollout/DesiredWeightVersionsTest.java
@@ -70,4 +70,23 @@
         versions.add("m", 2, freshness.earliestPublication());
         assertThat(versions.outdatedSince("m", 1)).contains(time.instant().minusMillis(age));
     }
+
+    /**
+     * Guards against a version that becomes younger than assumed because the clock of the daemon
+     * that wrote its time was ahead, and against one that stays younger than it is.
+     */
+    @ParameterizedTest
+    @CsvSource({"-12000,12000", "-9000,9000", "-2000,8000", "4000,8000"})
+    void timeByOtherClockOnlyMakesVersionsOlder(long requestedAfter, long age) {
+        Instant written = time.instant().plusMillis(requestedAfter);
+        versions.add("m", 3, Optional.empty());
+        assertThat(versions.refineByOtherClock("m", 2, written)).isTrue();
+        assertThat(versions.refineByOtherClock("m", 3, written)).isTrue();
+        Instant expected = time.instant().minusMillis(age);
+        assertThat(versions.outdatedSince("m", 1)).contains(expected);
+        assertThat(versions.outdatedSince("m", 2)).contains(expected);
+        assertThat(versions.refineByOtherClock("m", 3, Instant.EPOCH)).isFalse();
+        assertThat(versions.refineByOtherClock("m", 4, written)).isFalse();
+        assertThat(versions.refineByOtherClock("other", 1, written)).isFalse();
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -53,6 +53,7 @@
 import org.bergamothoist.gateway.control.AuxiliaryHttpServer;
 import org.bergamothoist.gateway.control.CacheEventPollers;
 import org.bergamothoist.gateway.control.EngineOrderClient;
+import org.bergamothoist.gateway.control.LoggedVersionDates;
 import org.bergamothoist.gateway.control.MetricsEndpoint;
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.control.ReportExchange;
@@ -208,6 +209,7 @@
                 new OrderLease(
                         self.name(),
                         store.orderLease(),
+                        new LoggedVersionDates(clusterView.desiredWeightVersions(), clock, log),
                         Duration.ofMillis(settings.orderLeaseMilliseconds()),
                         clock,
                         log);
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -169,6 +169,10 @@
                 new OrderLease(
                         "daemon-1",
                         new UncontestedLeaseTopic(),
+                        new LoggedVersionDates(
+                                clusterView.desiredWeightVersions(),
+                                clock,
+                                (kind, subject, inputs, outcome) -> {}),
                         Duration.ofSeconds(3),
                         clock,
                         (kind, subject, inputs, outcome) -> {});
