Send no request to an outdated engine whose queue reaches the limit

Outdated engines are left out 2.5 s before the limit, whatever time a request is predicted to wait there. Retries and resumed streams are not refused for a long queue, so that they could begin on old weights past the limit. Change: a choice whose predicted start lies after the limit is left out, too; the 2.5 s stay. Conclusion: the prediction covers what daemons report; an engine that is slower than predicted is covered by the 2.5 s only.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -158,6 +158,7 @@
                 mostReportedTokens(candidates, requirements.prompt());
         return candidates.stream()
                 .map(candidate -> evaluate(candidate, requirements, preferred, mostReported, now))
+                .filter(choice -> startsBeforeLimit(choice, now))
                 .min(Comparator.comparingDouble(Choice::predictedMilliseconds));
     }
 
@@ -308,6 +309,16 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether the engine is predicted to start the request while its weights are allowed.
+     */
+    private boolean startsBeforeLimit(Choice choice, Instant now) {
+        return choice.outdatedSince()
+                .map(since -> since.plus(longestOutdated))
+                .filter(limit -> now.plus(choice.queueingDelay()).isAfter(limit))
+                .isEmpty();
+    }
+
     private double outdatedPenalty(Optional<Instant> since, Instant now) {
         if (since.isEmpty()) {
             return 0;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -139,6 +139,21 @@
                 .isEqualTo(chosen);
     }
 
+    /** Guards against requests that reach the limit for outdated weights in an engine's queue. */
+    @ParameterizedTest
+    @CsvSource({"0,10000,true", "8,6000,true", "8,8000,false", "12,2600,true", "12,10000,false"})
+    void outdatedEngineMustStartTheRequestBeforeTheLimit(
+            int seconds, int queueingMilliseconds, boolean chosen) {
+        int prefillTokens =
+                (int) (queueingMilliseconds * EngineCosts.STANDARD.prefillTokensPerMillisecond());
+        engines.forEach(
+                engine ->
+                        states.getOrCreate(engine.incarnation()).load().addRequest(prefillTokens));
+        Instant since = time.instant().minusSeconds(seconds);
+        assertThat(!choose(version -> Optional.of(since), Set.of()).equals("none"))
+                .isEqualTo(chosen);
+    }
+
     /**
      * Guards against requests that start on outdated weights because the version of an engine that
      * gave an unexpected one in an answer is forgotten, and no limit applies to an unknown version.
