Extend the time known in a common outage up to the oldest report, and past the loss of a daemon

The known time followed the present by a fixed 1.6 s, while daemons on standby report each 5 s, so that a version could be dated late. A daemon that was lost during a common outage stopped the extension: a version named right after it was dated by the loss, and all engines were left out for seconds without need. Change: the known time ends with the oldest report of a daemon that is alive. A silent daemon counts as one that may read only if its last report said so. FeedFreshness.extendCompleteUntil is the former recordNothingPublished. Two cases, new in, now expect a common outage: their silent daemon had reported the outage itself. New cases with one that read the store when it fell silent guard what they guarded. Conclusion: a cut that begins after the outage, with the store back behind it, is not recognised.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFreshness.java
@@ -36,14 +36,19 @@
         failedSinceRead = true;
     }
 
-    /** Records a read after which all records that were published up to the instant are known. */
+    /**
+     * Records an own read after which all records that were published up to the instant are known.
+     */
     public void recordComplete(Instant until) {
         failedSinceRead = false;
-        recordNothingPublished(until);
+        extendCompleteUntil(until);
     }
 
-    /** Records that nothing was published between the last read and the instant. */
-    public void recordNothingPublished(Instant until) {
+    /**
+     * Records that all records that were published up to the instant are known, though not by an
+     * own read. An interruption of the reads goes on.
+     */
+    public void extendCompleteUntil(Instant until) {
         if (completeUntil.filter(known -> !until.isAfter(known)).isEmpty()) {
             completeUntil = Optional.of(until);
         }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/gossip/DaemonDirectory.java
@@ -21,7 +21,7 @@
 public final class DaemonDirectory {
 
     /** Shortest time without a report after which a daemon no longer counts as alive. */
-    public static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_600);
+    static final Duration LIVENESS_TIMEOUT = Duration.ofMillis(1_600);
 
     /** Delay of a report that does not make its daemon count as silent. */
     private static final Duration REPORT_DELAY_TOLERANCE = Duration.ofMillis(600);
@@ -80,11 +80,22 @@
                 .toList();
     }
 
-    /** Returns whether a daemon that was alive at the instant no longer is. */
-    public boolean hasFallenSilentSince(Instant instant) {
+    /** Returns when the oldest of the last reports of the daemons that are alive was received. */
+    public Optional<Instant> oldestAliveReportAt() {
         Instant now = clock.instant();
         return latestByName.values().stream()
-                .anyMatch(known -> isAlive(known, instant) && !isAlive(known, now));
+                .filter(known -> isAlive(known, now))
+                .map(ReceivedReport::at)
+                .min(Instant::compareTo);
+    }
+
+    /** Returns the last reports of daemons that were alive at the instant and no longer are. */
+    public List<DaemonReport> silentSince(Instant instant) {
+        Instant now = clock.instant();
+        return latestByName.values().stream()
+                .filter(known -> isAlive(known, instant) && !isAlive(known, now))
+                .map(ReceivedReport::report)
+                .toList();
     }
 
     private static boolean isAlive(ReceivedReport known, Instant instant) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -252,7 +252,7 @@
 
     private CommonOutageDetector createCommonOutageDetector() {
         return new CommonOutageDetector(
-                clusterView.daemons(), operatorFreshness, pauses, operatorFeed::isReachable, clock);
+                clusterView.daemons(), operatorFreshness, pauses, operatorFeed::isReachable);
     }
 
     private WeightRollout createRollout(EngineOrderClient orderClient) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CommonOutageDetector.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/CommonOutageDetector.java
@@ -1,8 +1,7 @@
 package org.bergamothoist.gateway.state;
 
+import java.time.Duration;
 import java.time.Instant;
-import java.time.InstantSource;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.bergamothoist.core.feed.FeedFreshness;
@@ -12,16 +11,20 @@
 
 /**
  * Detects outages of the store that all daemons share. Operators then publish nothing that this
- * daemon misses, so that versions read after a long outage need not be dated by its beginning.
- * Confined to the event loop.
+ * daemon misses, so that versions read after a long outage need not be dated by its beginning. A
+ * daemon that read the store when it fell silent may read on unseen. Confined to the event loop.
  */
 public final class CommonOutageDetector {
 
+    /**
+     * Time after a pause of this process in which reports may be received that were sent before.
+     */
+    private static final Duration BUFFERED_REPORT_PERIOD = Duration.ofSeconds(1);
+
     private final DaemonDirectory daemons;
     private final FeedFreshness operatorFreshness;
     private final PauseDetector pauses;
     private final BooleanSupplier storeReachable;
-    private final InstantSource clock;
 
     /**
      * Creates a detector.
@@ -32,13 +35,11 @@
             DaemonDirectory daemons,
             FeedFreshness operatorFreshness,
             PauseDetector pauses,
-            BooleanSupplier storeReachable,
-            InstantSource clock) {
+            BooleanSupplier storeReachable) {
         this.daemons = daemons;
         this.operatorFreshness = operatorFreshness;
         this.pauses = pauses;
         this.storeReachable = storeReachable;
-        this.clock = clock;
     }
 
     /**
@@ -46,30 +47,18 @@
      * to the time of the oldest report that shows it.
      */
     public void update() {
-        if (isStoreDownForAll()) {
-            operatorFreshness.recordNothingPublished(
-                    clock.instant().minus(DaemonDirectory.LIVENESS_TIMEOUT));
-        }
+        daemons.oldestAliveReportAt()
+                .filter(this::isStoreDownForAll)
+                .ifPresent(operatorFreshness::extendCompleteUntil);
     }
 
-    private boolean isStoreDownForAll() {
-        Optional<Instant> completeUntil = operatorFreshness.completeUntil();
-        if (storeReachable.getAsBoolean() || completeUntil.isEmpty()) {
-            return false;
-        }
-        List<DaemonReport> others = daemons.aliveReports();
-        return !others.isEmpty()
-                && others.stream().noneMatch(DaemonReport::storeReachable)
-                && !mayBeReadByUnseenDaemon(completeUntil.get());
-    }
-
-    /**
-     * Returns whether a daemon may read the store without this one seeing it: one that fell silent
-     * after the last read may be cut off from this daemon only, and reports that were received
-     * before a pause of this process may be outdated.
-     */
-    private boolean mayBeReadByUnseenDaemon(Instant lastRead) {
-        return daemons.hasFallenSilentSince(lastRead)
-                || pauses.hasPausedSince(clock.instant().minus(DaemonDirectory.LIVENESS_TIMEOUT));
+    private boolean isStoreDownForAll(Instant oldestReportAt) {
+        Optional<Instant> lastRead = operatorFreshness.completeUntil();
+        return !storeReachable.getAsBoolean()
+                && lastRead.isPresent()
+                && !pauses.hasPausedSince(oldestReportAt.minus(BUFFERED_REPORT_PERIOD))
+                && daemons.aliveReports().stream().noneMatch(DaemonReport::storeReachable)
+                && daemons.silentSince(lastRead.get()).stream()
+                        .noneMatch(DaemonReport::storeReachable);
     }
 }
