Keep an interruption of the own reads while records are relayed

A relayed read ended the interruption by a failed own read. Later failures of the same outage are not reported again, so that a version could be dated up to 1.9 s late. Change: a relayed read extends the known time; only an own one ends the interruption. Evidence: RecordRelayTest.relayedReadDoesNotEndTheInterruption failed before, passes. Conclusion: relayed versions are dated by the read of their source, up to two seconds early.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -145,7 +145,7 @@
             mirror.apply(Feed.TARGETS, records.targetRecords());
             records.weightVersions().forEach(version -> applyDate(source, version, sentAt));
             records.operatorAge()
-                    .ifPresent(age -> operatorFreshness.recordComplete(sentAt.minus(age)));
+                    .ifPresent(age -> operatorFreshness.extendCompleteUntil(sentAt.minus(age)));
         } catch (GatewayException exception) {
             log.write(
                     DecisionKind.RECORD_IGNORED,
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRelayTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRelayTest.java
@@ -28,6 +28,7 @@
 class RecordRelayTest {
 
     private static final String MODEL = "m";
+    private static final Duration LONGEST_READ = Duration.ofMillis(1_900);
     private static final Duration ASSUMED_AGE = Duration.ofMillis(7_500);
 
     private final VirtualTimeScheduler time = new VirtualTimeScheduler();
@@ -47,7 +48,7 @@
         private Daemon(String name) {
             clusterView = ClusterView.empty(new DaemonId(name, 1), time, ASSUMED_AGE);
             PauseDetector pauses = new PauseDetector(Duration.ofDays(1), time, pause -> {});
-            freshness = new FeedFreshness(Duration.ofDays(1), pauses, time);
+            freshness = new FeedFreshness(LONGEST_READ, pauses, time);
             relay =
                     new RecordRelay(
                             new FeedMirror((feed, record) -> {}),
@@ -153,6 +154,21 @@
         assertThat(started.freshness.completeUntil()).contains(sourceRead);
     }
 
+    /**
+     * Guards against a relayed read that ends the interruption by a failed own one, after which
+     * further failures are not reported.
+     */
+    @Test
+    void relayedReadDoesNotEndTheInterruption() {
+        started.freshness.recordComplete(time.instant());
+        started.freshness.recordFailure();
+        running.freshness.recordComplete(time.instant());
+        Instant sourceRead = time.instant();
+        startDaemonThatReads(2);
+        time.advanceMillis(1_800);
+        assertThat(started.freshness.earliestPublication()).contains(sourceRead);
+    }
+
     @Test
     void relayedReadOfSourceThatHasNotReadBoundsNothing() {
         startDaemonThatReads(2);
