Keep the assumed date of versions before one whose date becomes known

A restarted daemon reads only the newest version. Once its date was known, engines with versions further back counted as outdated since then, though versions in between may have been requested earlier. Change: the version before it keeps the assumed date until another daemon knows better. Conclusion: dates only get later where all versions since are known.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/rollout/DesiredWeightVersions.java
@@ -79,6 +79,12 @@
         if (before != null && !before.assumed()) {
             return false;
         }
+        if (before != null && requestedSince.isAfter(before.requestedSince())) {
+            // Unknown versions before this one may have been requested as early as assumed.
+            known.putIfAbsent(
+                    version - 1,
+                    new VersionDate(model, version - 1, before.requestedSince(), true));
+        }
         known.put(version, new VersionDate(model, version, requestedSince, false));
         return true;
     }
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRelayTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRelayTest.java
@@ -139,6 +139,23 @@
         assertThat(started.outdatedSince(1)).contains(assumed);
     }
 
+    /**
+     * Guards against an engine that becomes newly outdated because the date of the newest version
+     * becomes known, while the versions before it stay unknown.
+     */
+    @Test
+    void knownDateOfNewestVersionMakesOlderEnginesNoYounger() {
+        running.clusterView.desiredWeightVersions().add(MODEL, 4, Optional.empty());
+        time.advanceMillis(9_000);
+        Instant fifth = nameVersion(5);
+        time.advanceMillis(1_000);
+        startDaemonThatReads(5);
+        Instant assumed = started.outdatedSince(3).orElseThrow();
+        time.advanceMillis(1_000);
+        assertThat(started.outdatedSince(3)).contains(assumed);
+        assertThat(started.outdatedSince(4)).contains(fifth);
+    }
+
     /**
      * Guards against versions that are dated late because they were missing in a relayed answer
      * whose source had not read the store for a while.
