End a preparation with the daemon's own mark

Cause: checks whether an engine is marked as changing weights; since that includes the marks of other daemons, so that a lapsed preparation could go on. Found in review. Change: the own mark only, as the comment says. Evidence: WeightRolloutTest 14 of 14. Conclusion: no case is known in which it mattered.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -155,7 +155,7 @@
      */
     private void endLapsedPreparation(
             TargetIncarnation engine, LoadProgress progress, Instant now) {
-        if (!clusterView.targetStates().getOrCreate(engine).isChangingWeights(now)) {
+        if (!clusterView.targetStates().getOrCreate(engine).isChangingWeightsByOwnOrder(now)) {
             progress.preparationStartedAt = null;
         }
     }
