Name the parts of the prompt in log lines of failed attempts

Cause: attempt-failed named the whole content only, so that the logs of the incident could not tell whether requests that broke off one after the other shared a part of their prompts. A request's keys are now its content and the parts that others may share, by service and part, also on routes that state no model. Logic is unchanged; only the content counts.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/BrokenRequest.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/BrokenRequest.java
@@ -8,4 +8,4 @@
  * @param origin route and organisation of the request
  * @param runTime time since it was sent to the target
  */
-public record BrokenRequest(Fingerprint content, String origin, Duration runTime) {}
+public record BrokenRequest(RequestKeys keys, String origin, Duration runTime) {}
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/FingerprintCalculator.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/FingerprintCalculator.java
@@ -46,6 +46,19 @@
         return new Fingerprint(HexFormat.of().formatHex(digest.digest()));
     }
 
+    /**
+     * Returns the fingerprint of a part of prompts, which is the same for all callers, models and
+     * routes of a service.
+     *
+     * @param part key of the part, compared without regard to case
+     */
+    public static Fingerprint ofPart(String service, String part) {
+        MessageDigest digest = sha256();
+        update(digest, service);
+        update(digest, part.toLowerCase(Locale.ROOT));
+        return Fingerprint.ofBytes(Fingerprint.Subject.PART, digest.digest());
+    }
+
     /**
      * Returns the SHA-256 of a caller key in hexadecimal, the form in which configuration sheets
      * contain it.
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
@@ -161,7 +161,7 @@
             boolean broken,
             Consumer<Finding> onChecked) {
         Instant now = clock.instant();
-        Fingerprint content = request.content();
+        Fingerprint content = request.keys().content();
         LostRun run = new LostRun(request.origin(), now.minus(request.runTime()), now);
         TargetIncarnation incarnation = target.incarnation();
         if (ended.containsKey(incarnation)) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -61,8 +61,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         targetState().load().addRequest(selection.prefillTokens());
-        suspectContent =
-                dependencies.crashingContents().onStarted(targetId(), exchange::fingerprint);
+        suspectContent = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
         dependencies.activeAttempts().add(this);
         dependencies
                 .targetConnections()
@@ -352,8 +351,8 @@
     private String describeRun(AttemptFailure attemptFailure, Instant now) {
         return sentAt == null || !attemptFailure.mayHaveRun()
                 ? ""
-                : " content="
-                        + exchange.fingerprint().abbreviated()
+                : " "
+                        + exchange.keys().describe()
                         + " sent-before="
                         + Duration.between(sentAt, now).toMillis();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
@@ -9,6 +9,7 @@
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.GossipQuarantine;
+import org.bergamothoist.core.quarantine.RequestKeys;
 import org.bergamothoist.core.quarantine.SuspectRuns;
 import org.bergamothoist.core.quarantine.TargetLossDetector;
 
@@ -48,8 +49,8 @@
     }
 
     /** Returns the response to a request whose content is refused, or empty if it is not. */
-    Optional<ErrorResponse> refusal(Supplier<Fingerprint> content) {
-        return isRefused(content) ? Optional.of(refusal(content.get())) : Optional.empty();
+    Optional<ErrorResponse> refusal(Supplier<RequestKeys> keys) {
+        return isRefused(keys) ? Optional.of(refusal(keys.get().content())) : Optional.empty();
     }
 
     private ErrorResponse refusal(Fingerprint content) {
@@ -62,8 +63,8 @@
     }
 
     /** Returns whether requests with the content are refused. */
-    boolean isRefused(Supplier<Fingerprint> content) {
-        return quarantine.isActive() && quarantine.isQuarantined(content.get());
+    boolean isRefused(Supplier<RequestKeys> keys) {
+        return quarantine.isActive() && quarantine.isQuarantined(keys.get().content());
     }
 
     private boolean maySuspect() {
@@ -79,11 +80,11 @@
      * quarantine runs alone among suspects and once at a time, so that it is not quarantined for
      * another's crash.
      */
-    Separation separation(Supplier<Fingerprint> content) {
+    Separation separation(Supplier<RequestKeys> keys) {
         if (!maySuspect()) {
             return Separation.NONE;
         }
-        Fingerprint fingerprint = content.get();
+        Fingerprint fingerprint = keys.get().content();
         if (quarantine.isOneLossFromQuarantine(fingerprint)) {
             return new Separation(runs.targets(), true, runs.isRunning(fingerprint));
         }
@@ -97,12 +98,12 @@
      * Records that a target starts to run a request; returns the content to pass to {@link
      * #onEnded} if it is suspect.
      */
-    Optional<Fingerprint> onStarted(String target, Supplier<Fingerprint> content) {
-        if (!maySuspect() || !isSuspect(content.get())) {
+    Optional<Fingerprint> onStarted(String target, Supplier<RequestKeys> keys) {
+        if (!maySuspect() || !isSuspect(keys.get().content())) {
             return Optional.empty();
         }
-        runs.begin(target, content.get());
-        return Optional.of(content.get());
+        runs.begin(target, keys.get().content());
+        return Optional.of(keys.get().content());
     }
 
     /** Records that a target no longer runs a suspect content. */
@@ -111,9 +112,9 @@
     }
 
     /** Records that a target has completed a request. */
-    void onCompleted(Supplier<Fingerprint> content) {
+    void onCompleted(Supplier<RequestKeys> keys) {
         if (quarantine.isActive()) {
-            quarantine.onCompleted(content.get());
+            quarantine.onCompleted(keys.get().content());
         }
     }
 
@@ -125,14 +126,15 @@
      */
     void onConnectionBroken(
             TargetSelector.Selection selection, BrokenRequest request, Runnable goOn) {
-        boolean suspect = quarantine.isSuspect(request.content());
-        unchecked.merge(request.content(), 1, Integer::sum);
+        boolean suspect = quarantine.isSuspect(request.keys().content());
+        unchecked.merge(request.keys().content(), 1, Integer::sum);
         losses.onConnectionBroken(
                 selection.target(),
                 request,
                 finding -> {
                     unchecked.computeIfPresent(
-                            request.content(), (content, count) -> count == 1 ? null : count - 1);
+                            request.keys().content(),
+                            (content, count) -> count == 1 ? null : count - 1);
                     if (suspect) {
                         goOn.run();
                     }
@@ -152,7 +154,7 @@
                 request,
                 finding -> {
                     if (finding == TargetLossDetector.Finding.LISTENING) {
-                        onCompleted(request::content);
+                        onCompleted(request::keys);
                     }
                 });
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -16,6 +16,7 @@
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.FingerprintCalculator;
+import org.bergamothoist.core.quarantine.RequestKeys;
 import org.bergamothoist.core.relay.AttemptFailure;
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.route.Organisation;
@@ -74,7 +75,7 @@
     private ByteBuf body;
     private boolean bodyAnnounced;
     private String service;
-    private Fingerprint fingerprint;
+    private RequestKeys keys;
     private RetryPolicy.History history = RetryPolicy.History.NONE;
     private Attempt attempt;
     private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -152,14 +153,13 @@
             releaseBody();
             return;
         }
-        Optional<ErrorResponse> refusal =
-                dependencies.crashingContents().refusal(this::fingerprint);
+        service = dependencies.targetSelector().selectService(request);
+        Optional<ErrorResponse> refusal = dependencies.crashingContents().refusal(this::keys);
         if (refusal.isPresent()) {
             dependencies.metrics().countQuarantined();
             refuse(refusal.get());
             return;
         }
-        service = dependencies.targetSelector().selectService(request);
         dependencies.retryPolicy().onRequest(service);
         sendToTarget();
     }
@@ -202,7 +202,7 @@
 
     private Optional<TargetSelector.Selection> selectTarget() {
         CrashingContentGuard.Separation separation =
-                dependencies.crashingContents().separation(this::fingerprint);
+                dependencies.crashingContents().separation(this::keys);
         if (separation.none()) {
             return Optional.empty();
         }
@@ -341,7 +341,7 @@
     private boolean tryRetry(AttemptFailure failure) {
         boolean retryable = !relay.isStarted() || relay.isResumable();
         return retryable
-                && !dependencies.crashingContents().isRefused(this::fingerprint)
+                && !dependencies.crashingContents().isRefused(this::keys)
                 && dependencies
                         .retryPolicy()
                         .tryRetry(
@@ -379,20 +379,21 @@
     }
 
     /**
-     * Returns the fingerprint of the request's content. Computed on first use, which must precede
-     * the end of the exchange.
+     * Returns the fingerprints of the request's content and of the parts of its prompt. Computed on
+     * first use, which must follow the choice of the service and precede the end of the exchange.
      */
-    Fingerprint fingerprint() {
-        if (fingerprint == null) {
-            fingerprint =
+    RequestKeys keys() {
+        if (keys == null) {
+            Fingerprint content =
                     FingerprintCalculator.ofRequest(
                             request.head().method().name(),
                             request.route().host(),
                             request.head().requestTarget(),
                             request.organisation().map(Organisation::name).orElse(""),
                             body.nioBuffer());
+            keys = RequestKeys.of(content, service, request.head().sharedParts());
         }
-        return fingerprint;
+        return keys;
     }
 
     /**
@@ -425,7 +426,7 @@
                                 .map(organisation -> " organisation=" + organisation.name())
                                 .orElse("");
         return new BrokenRequest(
-                fingerprint(), origin, Duration.between(sentAt, dependencies.clock().instant()));
+                keys(), origin, Duration.between(sentAt, dependencies.clock().instant()));
     }
 
     /** Retries a failed attempt, or ends the request with an error. */
@@ -443,7 +444,7 @@
         history = history.after(failure);
         attempt = null;
         ErrorCode code =
-                dependencies.crashingContents().isRefused(this::fingerprint)
+                dependencies.crashingContents().isRefused(this::keys)
                         ? ErrorCode.REQUEST_QUARANTINED
                         : ErrorCode.TARGET_FAILED;
         fail(failure + " at " + failed.targetId() + ": " + detail, code);
@@ -511,7 +512,7 @@
 
     /** Ends the exchange after the complete response was relayed. */
     void onComplete() {
-        dependencies.crashingContents().onCompleted(this::fingerprint);
+        dependencies.crashingContents().onCompleted(this::keys);
         endAnswered();
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
@@ -96,7 +96,7 @@
 
     private static Fingerprint decodeFingerprint(byte[] bytes) {
         try {
-            return Fingerprint.ofBytes(bytes);
+            return Fingerprint.ofBytes(Fingerprint.Subject.CONTENT, bytes);
         } catch (IllegalArgumentException exception) {
             throw new GatewayException(
                     ErrorCode.INVALID_PEER_MESSAGE,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/wire/RequestHead.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/wire/RequestHead.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.bergamothoist.core.prefix.PartitionedPrompt;
 
@@ -15,6 +16,8 @@
  * @param deadline time that the caller waits, counted from the arrival of the request
  * @param lastEventId last event that the caller has received, if a stream is continued
  * @param prompt model, token counts and parts of the prompt, if the headers give them
+ * @param sharedParts keys of the parts of the prompt that other requests may share, also of a
+ *     request that states no model
  */
 public record RequestHead(
         String requestId,
@@ -24,4 +27,5 @@
         Optional<String> callerKey,
         Optional<Duration> deadline,
         Optional<String> lastEventId,
-        Optional<PartitionedPrompt> prompt) {}
+        Optional<PartitionedPrompt> prompt,
+        List<String> sharedParts) {}
