Add failing tests of crashing parts, and list them

What callers saw: a part of prompts ended 22 and 19 engines, because each request with it was a new content.

--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -156,6 +156,43 @@
         assertThat(first.isQuarantined(HARMLESS)).isFalse();
     }
 
+    /**
+     * Guards against refusing harmless content that moved from a dying target to the next one that
+     * died, beside contents that have crashed targets without it but are not refused yet.
+     */
+    @Test
+    void contentThatMovedAmongDyingTargetsIsServed() {
+        GossipQuarantine first = daemon();
+        for (int crashing = 3; crashing <= 5; crashing++) {
+            lose(first, "earlier-" + crashing, content(crashing));
+            time.advanceMillis(500);
+        }
+        for (int crashing = 3; crashing <= 5; crashing++) {
+            lose(first, "target-" + crashing, HARMLESS, content(crashing));
+            time.advanceMillis(100);
+        }
+        assertThat(first.isQuarantined(HARMLESS)).isFalse();
+    }
+
+    /**
+     * Guards against refusing harmless content for as long as those that explain its losses are
+     * below the threshold themselves.
+     */
+    @Test
+    void refusedContentIsServedAgainOnceOthersExplainItsLosses() {
+        GossipQuarantine first = daemon();
+        for (int crashing = 3; crashing <= 5; crashing++) {
+            lose(first, "target-" + crashing, HARMLESS, content(crashing));
+            time.advanceMillis(100);
+        }
+        assertThat(first.isQuarantined(HARMLESS)).isTrue();
+        for (int crashing = 3; crashing <= 5; crashing++) {
+            lose(first, "later-" + crashing, content(crashing));
+            time.advanceMillis(500);
+        }
+        assertThat(first.isQuarantined(HARMLESS)).isFalse();
+    }
+
     /** Guards against contents that excuse each other because they always ran together. */
     @Test
     void contentsThatRanTogetherAreRefusedAfterTwoMoreLossesEach() {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/TargetLossDetectorTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/TargetLossDetectorTest.java
@@ -45,7 +45,8 @@
     private void breakConnection(int content) {
         detector.onConnectionBroken(
                 target,
-                new BrokenRequest(content(content), "route=r", Duration.ZERO),
+                new BrokenRequest(
+                        RequestKeys.ofContent(content(content)), "route=r", Duration.ZERO),
                 finding -> checked++);
     }
 
@@ -173,7 +174,9 @@
         probeResult = result;
         time.advance(Duration.ofMinutes(5));
         detector.onAnswerEndedByClose(
-                target, new BrokenRequest(content(1), "route=r", Duration.ZERO), findings::add);
+                target,
+                new BrokenRequest(RequestKeys.ofContent(content(1)), "route=r", Duration.ZERO),
+                findings::add);
         time.advance(TargetLossDetector.PROBE_DELAY);
         detector.onTargetStarted(target("i-1", "10.0.0.1:80", time.instant()));
         assertThat(findings).containsExactly(expected);
