Refuse parts of prompts that crash targets, with the quarantine of contents

A harmless content that moved from one dying target to the next was refused for an hour.

Cause: the key. A loss was held against the content of each request, never against what requests have in common.

A successful answer, or one that goes on for a second, clears all of them, so that common parts are cleared by sound requests. Losses of a part within 300 ms count once, since targets that fail together may all run a common part. A part that one more loss would quarantine runs alone and once at a time, and a stream with it waits for the check of its target before it goes on. Eviction frees what was lost once first.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -12,13 +13,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.log.SharedState;
 
 /**
- * Quarantine of contents that crash targets, for daemons that share their losses in reports.
- * Confined to the control thread.
+ * Quarantine of contents and parts of prompts that crash targets, for daemons that share their
+ * losses in reports. Confined to the control thread.
  *
  * <p>Daemons repeat to each other what has changed, and the contents that are close to quarantine
  * for as long as they are, so that one that was cut off or has started learns of them as well. Each
@@ -54,8 +56,8 @@
     /** Routes and organisations of the contents whose losses this daemon has observed itself. */
     private final Map<Fingerprint, String> observedOrigins = new HashMap<>();
 
-    /** The contents that are refused. */
-    private Set<Fingerprint> quarantined = Set.of();
+    /** What is refused: requests that have all contents and parts of one of the sets. */
+    private Set<Set<Fingerprint>> quarantined = Set.of();
 
     private int nextStanding;
 
@@ -91,19 +93,42 @@
         return !contents.isEmpty();
     }
 
-    /** Returns whether requests with the content are refused. */
-    public boolean isQuarantined(Fingerprint content) {
-        return quarantined.contains(content) && contents.lossCount(content) > 0;
+    /**
+     * Returns the content or the parts for which a request is refused, or an empty set if it is
+     * not.
+     */
+    public Set<Fingerprint> refusedFor(RequestKeys keys) {
+        return quarantined.stream()
+                .filter(group -> keys.containsAll(group))
+                .filter(group -> group.stream().allMatch(this::isSuspect))
+                .min(Comparator.comparingInt(Set::size))
+                .orElse(Set.of());
+    }
+
+    /**
+     * Returns whether a content or part is quarantined: requests with it are refused, unless they
+     * lack a part that it cannot be told apart from.
+     */
+    public boolean isQuarantined(Fingerprint key) {
+        return isSuspect(key) && quarantined.stream().anyMatch(group -> group.contains(key));
+    }
+
+    /** Returns whether a target was lost while it ran the content or part. */
+    public boolean isSuspect(Fingerprint key) {
+        return contents.lossCount(key) > 0;
     }
 
-    /** Returns whether a target was lost while it ran the content. */
-    public boolean isSuspect(Fingerprint content) {
-        return contents.lossCount(content) > 0;
+    /** Returns whether one more loss would quarantine the content or part. */
+    public boolean isOneLossFromQuarantine(Fingerprint key) {
+        return contents.lossCount(key) >= THRESHOLD - 1 && !isQuarantined(key);
     }
 
-    /** Returns whether one more loss would quarantine the content. */
-    public boolean isOneLossFromQuarantine(Fingerprint content) {
-        return contents.lossCount(content) >= THRESHOLD - 1 && !isQuarantined(content);
+    /**
+     * Returns the content and the parts of a request that one more loss would quarantine and that
+     * nothing else explains.
+     */
+    public List<Fingerprint> oneLossFromQuarantine(RequestKeys keys) {
+        return contents.oneLossFromQuarantine(keys);
     }
 
     /** Returns the losses of a content, cleared ones included. */
@@ -119,9 +144,13 @@
                 .orElse(Duration.ZERO);
     }
 
-    /** Returns the number of contents that are refused. */
+    /** Returns the number of contents and parts that are quarantined. */
     public int quarantinedCount() {
-        return (int) quarantined.stream().filter(this::isQuarantined).count();
+        return (int) quarantinedKeys().stream().filter(this::isQuarantined).count();
+    }
+
+    private Set<Fingerprint> quarantinedKeys() {
+        return quarantined.stream().flatMap(Set::stream).collect(Collectors.toSet());
     }
 
     /**
@@ -130,19 +159,23 @@
      * @param running contents that this daemon had sent to it
      */
     public void onTargetLost(TargetLoss target, Map<Fingerprint, LostRun> running) {
-        running.forEach(
-                (content, run) -> {
-                    observedOrigins.put(content, run.origin());
-                    var loss =
-                            new SuspectContents.Loss(target, run.sentAt(), run.brokenAt(), false);
-                    record(content, loss, "observed " + run.origin());
-                });
+        boolean changed = false;
+        for (Map.Entry<Fingerprint, LostRun> entry : running.entrySet()) {
+            LostRun run = entry.getValue();
+            observedOrigins.put(entry.getKey(), run.origin());
+            var loss = new SuspectContents.Loss(target, run.sentAt(), run.brokenAt(), false);
+            changed |= record(entry.getKey(), loss, "observed " + run.origin());
+        }
+        if (changed) {
+            updateQuarantined();
+        }
         listener.onChange();
     }
 
-    private void record(Fingerprint content, SuspectContents.Loss loss, String source) {
+    /** Records a loss; returns whether it may change what is quarantined. */
+    private boolean record(Fingerprint content, SuspectContents.Loss loss, String source) {
         if (!contents.record(content, loss)) {
-            return;
+            return false;
         }
         changes.put(content, clock.instant());
         int losses = contents.lossCount(content);
@@ -151,20 +184,19 @@
                 content.abbreviated(),
                 () -> "lost=" + loss.target() + " " + source,
                 loss.cleared() ? "cleared" : "losses " + losses);
-        updateQuarantined(content);
+        return losses >= LossAttribution.REPEATED_LOSSES || loss.cleared();
     }
 
-    /** Applies a change of a content's losses, which may concern other contents as well. */
-    private void updateQuarantined(Fingerprint changed) {
-        if (contents.lossCount(changed) < THRESHOLD && !quarantined.contains(changed)) {
-            return;
-        }
-        Set<Fingerprint> before = quarantined;
+    /** Decides anew what is quarantined; a change of some losses may concern others as well. */
+    private void updateQuarantined() {
+        Set<Fingerprint> before = quarantinedKeys();
         quarantined = contents.quarantined();
-        quarantined.stream().filter(content -> !before.contains(content)).forEach(this::quarantine);
+        Set<Fingerprint> after = quarantinedKeys();
+        after.stream().filter(key -> !before.contains(key)).sorted().forEach(this::quarantine);
         before.stream()
-                .filter(content -> !quarantined.contains(content))
-                .filter(content -> !losses(content).isEmpty())
+                .filter(key -> !after.contains(key))
+                .filter(key -> !losses(key).isEmpty())
+                .sorted()
                 .forEach(this::serveAgain);
     }
 
@@ -195,42 +227,59 @@
         listener.onQuarantined(content, losses, origin);
     }
 
-    /** Clears the suspicion of a content that a target has completed. */
-    public void onCompleted(Fingerprint content) {
-        clear(content, "completed");
+    /** Clears the suspicion of the content and the parts of a request that a target answered. */
+    public void onCompleted(RequestKeys keys) {
+        clear(keys.all(), "completed");
     }
 
-    /** Clears a content that an operator has released. */
-    public void onReleased(Fingerprint content) {
-        clear(content, "released");
+    /**
+     * Clears a content or part that an operator has released, and what could not be told apart from
+     * it.
+     */
+    public void onReleased(Fingerprint key) {
+        Set<Fingerprint> released = new LinkedHashSet<>(Set.of(key));
+        quarantined.stream().filter(group -> group.contains(key)).forEach(released::addAll);
+        clear(released, "released");
     }
 
-    private void clear(Fingerprint content, String reason) {
-        if (contents.clear(content)) {
-            changes.put(content, clock.instant());
-            log.write(DecisionKind.CONTENT_CLEARED, content.abbreviated(), () -> reason, "served");
-            listener.onChange();
-            updateQuarantined(content);
+    private void clear(Collection<Fingerprint> keys, String reason) {
+        List<Fingerprint> cleared = keys.stream().filter(contents::clear).toList();
+        if (cleared.isEmpty()) {
+            return;
+        }
+        for (Fingerprint key : cleared) {
+            changes.put(key, clock.instant());
+            log.write(DecisionKind.CONTENT_CLEARED, key.abbreviated(), () -> reason, "served");
         }
+        listener.onChange();
+        updateQuarantined();
     }
 
     /** Takes over what another daemon or the store knows. */
     public void merge(List<SuspectReport> reports, String source) {
         Instant now = clock.instant();
+        boolean changed = false;
         for (SuspectReport report : reports) {
             for (SuspectReport.ReportedLoss loss : report.losses()) {
-                if (!loss.cleared() && isCleared(report.content(), loss.target())) {
+                if (!loss.cleared() && isCleared(report.key(), loss.target())) {
                     // The sender does not know that the content was completed: tell it again.
-                    changes.put(report.content(), now);
+                    changes.put(report.key(), now);
                 }
                 Instant at = now.minus(loss.age());
-                record(
-                        report.content(),
-                        new SuspectContents.Loss(
-                                loss.target(), at.minus(loss.runTime()), at, loss.cleared()),
-                        "from " + source);
+                changed |=
+                        record(
+                                report.key(),
+                                new SuspectContents.Loss(
+                                        loss.target(),
+                                        at.minus(loss.runTime()),
+                                        at,
+                                        loss.cleared()),
+                                "from " + source);
             }
         }
+        if (changed) {
+            updateQuarantined();
+        }
     }
 
     private boolean isCleared(Fingerprint content, TargetLoss target) {
@@ -242,9 +291,9 @@
     public void removeExpired() {
         Instant now = clock.instant();
         contents.removeExpired();
-        List.copyOf(quarantined).stream()
-                .filter(content -> contents.losses(content).isEmpty())
-                .forEach(this::updateQuarantined);
+        if (quarantinedKeys().stream().anyMatch(key -> contents.losses(key).isEmpty())) {
+            updateQuarantined();
+        }
         changes.values().removeIf(at -> at.plus(REPETITION).isBefore(now));
         observedOrigins.keySet().removeIf(content -> contents.losses(content).isEmpty());
     }
@@ -271,7 +320,7 @@
     private Set<Fingerprint> reportOrder() {
         Set<Fingerprint> order = new LinkedHashSet<>();
         changes.keySet().stream()
-                .sorted(Comparator.comparing(contents::lossCount).reversed())
+                .sorted(Comparator.comparing(this::knownLosses).reversed())
                 .forEach(order::add);
         List<Fingerprint> standing = contents.closeToQuarantine();
         for (int index = 0; index < standing.size(); index++) {
@@ -285,6 +334,14 @@
         return order;
     }
 
+    /**
+     * Returns the number of losses, cleared ones included: that a part which many requests have in
+     * common was completed is as important to others as what crashes targets.
+     */
+    private int knownLosses(Fingerprint key) {
+        return contents.losses(key).size();
+    }
+
     private SuspectReport report(Fingerprint content, Instant now) {
         return new SuspectReport(
                 content,
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/RequestKeys.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/RequestKeys.java
@@ -3,14 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
  * What may crash the targets of a request: its content, or one of the parts of its prompt that
  * other requests share.
+ *
+ * @param partNames the callers' names of the parts
  */
-public record RequestKeys(Fingerprint content, Set<Fingerprint> parts) {
+public record RequestKeys(Fingerprint content, Map<Fingerprint, String> partNames) {
 
     /** Maximum number of parts of one prompt that are told apart; further ones are ignored. */
     public static final int MAXIMUM_PARTS = 128;
@@ -18,13 +22,16 @@
     /** Maximum number of parts that a description names. */
     private static final int MAXIMUM_DESCRIBED_PARTS = 8;
 
+    /** Length to which the name of a part is cut. */
+    private static final int MAXIMUM_NAME_LENGTH = 64;
+
     public RequestKeys {
-        parts = Set.copyOf(parts);
+        partNames = Map.copyOf(partNames);
     }
 
     /** Returns the keys of a request without a prompt. */
     public static RequestKeys ofContent(Fingerprint content) {
-        return new RequestKeys(content, Set.of());
+        return new RequestKeys(content, Map.of());
     }
 
     /**
@@ -38,30 +45,49 @@
                 content,
                 sharedParts.stream()
                         .limit(MAXIMUM_PARTS)
-                        .map(part -> FingerprintCalculator.ofPart(service, part))
-                        .collect(Collectors.toSet()));
+                        .collect(
+                                Collectors.toMap(
+                                        part -> FingerprintCalculator.ofPart(service, part),
+                                        RequestKeys::shorten,
+                                        (name, repeated) -> name)));
+    }
+
+    private static String shorten(String name) {
+        return name.length() > MAXIMUM_NAME_LENGTH ? name.substring(0, MAXIMUM_NAME_LENGTH) : name;
+    }
+
+    /** Returns the parts that other requests may share. */
+    public Set<Fingerprint> parts() {
+        return partNames.keySet();
+    }
+
+    /** Returns the caller's name of a part, or empty if the key is the content. */
+    public Optional<String> partName(Fingerprint key) {
+        return Optional.ofNullable(partNames.get(key));
     }
 
     /** Returns the content and the parts. */
     public List<Fingerprint> all() {
-        List<Fingerprint> all = new ArrayList<>(parts.size() + 1);
+        List<Fingerprint> all = new ArrayList<>(partNames.size() + 1);
         all.add(content);
-        all.addAll(parts);
+        all.addAll(parts());
         return all;
     }
 
     boolean containsAll(Collection<Fingerprint> keys) {
-        return keys.stream().allMatch(key -> key.equals(content) || parts.contains(key));
+        return keys.stream().allMatch(key -> key.equals(content) || partNames.containsKey(key));
     }
 
     /** Describes the keys for the log. */
     public String describe() {
         String described =
-                parts.stream()
+                parts().stream()
                         .sorted()
                         .limit(MAXIMUM_DESCRIBED_PARTS)
                         .map(Fingerprint::abbreviated)
                         .collect(Collectors.joining(","));
-        return "content=" + content.abbreviated() + (parts.isEmpty() ? "" : " parts=" + described);
+        return "content="
+                + content.abbreviated()
+                + (partNames.isEmpty() ? "" : " parts=" + described);
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
@@ -5,21 +5,23 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * The targets that were lost while they ran each content. Confined to the control thread.
+ * The targets that were lost while they ran each content, and each part of prompts that contents
+ * have in common. Confined to the control thread.
  *
  * <p>Losses are identified by the run of the target that ended, so that it makes no difference how
  * often and by whom one is recorded. Of losses whose requests ran at the same time only one counts:
- * copies of a harmless content may run on several targets that fail together. A content that was
- * completed is cleared: its losses are kept, but no longer count, so that a late record of one of
- * them changes nothing.
+ * copies of a harmless content may run on several targets that fail together. Of losses within a
+ * short time only one counts for a part, which many requests have in common. What was completed is
+ * cleared: its losses are kept, but no longer count, so that a late record of one of them changes
+ * nothing.
  */
 public final class SuspectContents {
 
@@ -27,13 +29,10 @@
     static final int MAXIMUM_LOSSES = 8;
 
     /**
-     * Number of losses above the threshold from which a content is quarantined even if other
-     * contents explain all of them: several that always run together may crash targets.
+     * Time within which the losses of a part count once: targets of a service that fail together
+     * are lost within a fraction of a second, and may all run a common part.
      */
-    private static final int EXCESS_LOSSES = 2;
-
-    /** Number of losses that may be coincidence if other contents explain all but these. */
-    private static final int COINCIDENTAL_LOSSES = 1;
+    private static final Duration COMMON_FAILURE_TIME = Duration.ofMillis(300);
 
     /** Time by which a loss that another daemon reports may seem to be later than it was. */
     private static final Duration REPORT_DELAY = Duration.ofMillis(10);
@@ -81,52 +80,48 @@
 
     /** Returns whether the content is one of those to quarantine. */
     public boolean isQuarantined(Fingerprint content) {
-        return quarantined().contains(content);
+        return quarantined().stream().anyMatch(group -> group.contains(content));
     }
 
     /**
-     * Returns the contents to quarantine: those whose losses exceed the threshold by far, and of
-     * the others that reach it as many as explain the remaining losses but for coincidence,
-     * beginning with the one that explains most. A harmless content may reach the threshold first,
-     * beside several that crash targets; once these reach it as well, they explain its losses.
+     * Returns what to quarantine. Requests that have all contents and parts of a set in common are
+     * refused.
      */
-    public Set<Fingerprint> quarantined() {
-        Set<Fingerprint> quarantined = new HashSet<>();
-        Set<TargetLoss> explained = new HashSet<>();
-        List<Fingerprint> candidates = new ArrayList<>(withLosses(quarantineThreshold));
-        candidates.sort(Comparator.comparingInt(this::lossCount).reversed());
-        for (Fingerprint candidate : candidates) {
-            if (lossCount(candidate) >= quarantineThreshold + EXCESS_LOSSES) {
-                quarantined.add(candidate);
-                explained.addAll(countedLosses(candidate));
-            }
-        }
-        Optional<Fingerprint> next = mostUnexplained(candidates, explained);
-        while (next.isPresent()) {
-            quarantined.add(next.get());
-            explained.addAll(countedLosses(next.get()));
-            next = mostUnexplained(candidates, explained);
-        }
-        return quarantined;
+    public Set<Set<Fingerprint>> quarantined() {
+        List<LossAttribution.Suspect> repeated =
+                withLosses(LossAttribution.REPEATED_LOSSES).stream()
+                        .map(
+                                key ->
+                                        new LossAttribution.Suspect(
+                                                key, countedLosses(key), lossCount(key)))
+                        .toList();
+        return new LossAttribution(quarantineThreshold, repeated).quarantined();
     }
 
-    private Optional<Fingerprint> mostUnexplained(
-            List<Fingerprint> candidates, Set<TargetLoss> explained) {
-        Fingerprint found = null;
-        int most = COINCIDENTAL_LOSSES;
-        for (Fingerprint candidate : candidates) {
-            List<TargetLoss> unexplained = new ArrayList<>(countedLosses(candidate));
-            unexplained.removeAll(explained);
-            if (unexplained.size() > most) {
-                most = unexplained.size();
-                found = candidate;
-            }
-        }
-        return Optional.ofNullable(found);
+    /**
+     * Returns the parts of a request that one more loss would quarantine, and its content if one
+     * more loss would quarantine it. A part whose losses another one explains, which the request
+     * does not have, is none of them.
+     */
+    public List<Fingerprint> oneLossFromQuarantine(RequestKeys keys) {
+        return keys.all().stream()
+                .filter(key -> lossCount(key) >= quarantineThreshold - 1)
+                .filter(key -> !key.isPart() || !isExplainedByOthers(key, keys))
+                .toList();
+    }
+
+    private boolean isExplainedByOthers(Fingerprint part, RequestKeys keys) {
+        Set<TargetLoss> losses = countedLosses(part);
+        return withLosses(quarantineThreshold - 1).stream()
+                .filter(other -> other.isPart() && !keys.parts().contains(other))
+                .anyMatch(other -> countedLosses(other).containsAll(losses));
     }
 
-    private List<TargetLoss> countedLosses(Fingerprint content) {
-        return losses(content).stream().filter(loss -> !loss.cleared()).map(Loss::target).toList();
+    private Set<TargetLoss> countedLosses(Fingerprint content) {
+        return losses(content).stream()
+                .filter(loss -> !loss.cleared())
+                .map(Loss::target)
+                .collect(Collectors.toSet());
     }
 
     /** Returns the losses of a content, cleared ones included. */
@@ -162,7 +157,7 @@
         if (isOver(loss.at())) {
             return false;
         }
-        boolean changed = entries.computeIfAbsent(content, key -> new Entry()).add(loss);
+        boolean changed = entries.computeIfAbsent(content, Entry::new).add(loss);
         if (entries.size() > maximumContents) {
             evict();
         }
@@ -172,7 +167,7 @@
     /** Clears a content that was completed or released; returns whether any loss had counted. */
     public boolean clear(Fingerprint content) {
         Optional<Entry> entry = current(content).filter(found -> found.lossCount() > 0);
-        entry.ifPresent(Entry::clear);
+        entry.ifPresent(found -> found.clear(clock.instant()));
         return entry.isPresent();
     }
 
@@ -190,36 +185,61 @@
         return !clock.instant().isBefore(newestLossAt.plus(retention));
     }
 
+    /**
+     * Removes what was lost once, or else what is not quarantined; the least recently used first.
+     */
     private void evict() {
         Fingerprint evicted =
-                entries.entrySet().stream()
-                        .filter(entry -> entry.getValue().lossCount() < quarantineThreshold)
-                        .map(Map.Entry::getKey)
-                        .findFirst()
+                leastRecentlyUsed(2)
+                        .or(() -> leastRecentlyUsed(quarantineThreshold))
                         .orElseGet(() -> entries.keySet().iterator().next());
         entries.remove(evicted);
     }
 
-    /** The losses of one content. */
+    private Optional<Fingerprint> leastRecentlyUsed(int belowLosses) {
+        return entries.entrySet().stream()
+                .filter(entry -> entry.getValue().lossCount() < belowLosses)
+                .map(Map.Entry::getKey)
+                .findFirst();
+    }
+
+    /** The losses of one content or part. */
     private static final class Entry {
 
         private final Map<TargetLoss, Loss> losses = new LinkedHashMap<>();
+        private final Duration commonFailureTime;
+        private int lossCount;
+
+        /** When a request with it was completed, or the earliest instant if none was. */
+        private Instant completedAt = Instant.MIN;
+
+        private Entry(Fingerprint key) {
+            this.commonFailureTime = key.isPart() ? COMMON_FAILURE_TIME : Duration.ZERO;
+        }
 
         private int lossCount() {
+            return lossCount;
+        }
+
+        private void recount() {
             List<Loss> inOrder =
                     losses.values().stream()
                             .filter(loss -> !loss.cleared())
                             .sorted(Comparator.comparing(Loss::at))
                             .toList();
-            int count = 0;
-            Instant lastCounted = Instant.MIN;
+            lossCount = 0;
+            Loss lastCounted = null;
             for (Loss loss : inOrder) {
-                if (!loss.sentAt().isBefore(lastCounted)) {
-                    count++;
-                    lastCounted = loss.at().minus(REPORT_DELAY);
+                if (lastCounted == null || isIndependent(loss, lastCounted)) {
+                    lossCount++;
+                    lastCounted = loss;
                 }
             }
-            return count;
+        }
+
+        private boolean isIndependent(Loss loss, Loss earlier) {
+            return !loss.sentAt().isBefore(earlier.at().minus(REPORT_DELAY))
+                    && !loss.at().isBefore(earlier.at().plus(commonFailureTime));
         }
 
         private Instant newestLossAt() {
@@ -230,11 +250,16 @@
         }
 
         /** Adds a loss. The earlier of two times of one loss counts, so that retention ends. */
-        private boolean add(Loss loss) {
+        private boolean add(Loss reported) {
+            boolean cleared = reported.cleared() || reported.at().isBefore(completedAt);
+            Loss loss = new Loss(reported.target(), reported.sentAt(), reported.at(), cleared);
             Loss known = losses.get(loss.target());
-            if (known == null) {
-                return addUnknown(loss);
-            }
+            boolean changed = known == null ? addUnknown(loss) : merge(known, loss);
+            recount();
+            return changed;
+        }
+
+        private boolean merge(Loss known, Loss loss) {
             Loss earlier = known.at().isBefore(loss.at()) ? known : loss;
             boolean cleared = known.cleared() || loss.cleared();
             losses.put(
@@ -260,10 +285,12 @@
             return oldest.isPresent();
         }
 
-        private void clear() {
+        private void clear(Instant at) {
+            completedAt = at;
             for (Loss loss : new ArrayList<>(losses.values())) {
                 losses.put(loss.target(), new Loss(loss.target(), loss.sentAt(), loss.at(), true));
             }
+            recount();
         }
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectReport.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectReport.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
-/** What a daemon tells others of the losses of one content. */
-public record SuspectReport(Fingerprint content, List<ReportedLoss> losses) {
+/** What a daemon tells others of the losses of one content or part. */
+public record SuspectReport(Fingerprint key, List<ReportedLoss> losses) {
 
     public SuspectReport {
         losses = List.copyOf(losses);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
@@ -161,11 +161,10 @@
             boolean broken,
             Consumer<Finding> onChecked) {
         Instant now = clock.instant();
-        Fingerprint content = request.keys().content();
-        LostRun run = new LostRun(request.origin(), now.minus(request.runTime()), now);
+        Map<Fingerprint, LostRun> running = runs(request, now);
         TargetIncarnation incarnation = target.incarnation();
         if (ended.containsKey(incarnation)) {
-            report(incarnation, Map.of(content, run));
+            report(incarnation, running);
             onChecked.accept(Finding.LOST);
             return;
         }
@@ -174,10 +173,9 @@
             onChecked.accept(Finding.UNKNOWN);
             return;
         }
-        Optional<RegisteredTarget> successor =
-                successor(new Unexplained(target, Map.of(content, run), now));
+        Optional<RegisteredTarget> successor = successor(new Unexplained(target, running, now));
         if (successor.isPresent()) {
-            onSucceeded(target, successor.get(), Map.of(content, run));
+            onSucceeded(target, successor.get(), running);
             onChecked.accept(Finding.LOST);
             return;
         }
@@ -192,13 +190,35 @@
             checks.put(incarnation, check);
             scheduler.schedule(PROBE_DELAY, check::start);
         }
-        check.running.put(content, run);
+        addRuns(check.running, running);
         if (broken) {
-            check.broken.put(content, run);
+            addRuns(check.broken, running);
         }
         check.onChecked.add(onChecked);
     }
 
+    private static Map<Fingerprint, LostRun> runs(BrokenRequest request, Instant brokenAt) {
+        Instant sentAt = brokenAt.minus(request.runTime());
+        Map<Fingerprint, LostRun> runs = new LinkedHashMap<>();
+        for (Fingerprint key : request.keys().all()) {
+            String part = request.keys().partName(key).map(" part="::concat).orElse("");
+            runs.put(key, new LostRun(request.origin() + part, sentAt, brokenAt));
+        }
+        return runs;
+    }
+
+    /** Adds runs; of several runs with the same key, the one that began first counts. */
+    private static void addRuns(
+            Map<Fingerprint, LostRun> runs, Map<Fingerprint, LostRun> additional) {
+        additional.forEach(
+                (key, run) ->
+                        runs.merge(
+                                key,
+                                run,
+                                (known, other) ->
+                                        known.sentAt().isAfter(other.sentAt()) ? other : known));
+    }
+
     /** Handles the registration of a process that was not known before. */
     public void onTargetStarted(RegisteredTarget target) {
         if (started.size() < MAXIMUM_KEPT) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -109,7 +109,7 @@
         lose(first, "b", HARMLESS);
         lose(first, "c", HARMLESS);
         tell(first, second);
-        second.onCompleted(HARMLESS);
+        second.onCompleted(RequestKeys.ofContent(HARMLESS));
         tell(first, second);
         tell(second, first);
         assertThat(first.isSuspect(HARMLESS)).isFalse();
@@ -220,7 +220,7 @@
         lose(first, "b", HARMLESS);
         lose(first, "c", HARMLESS);
         List<SuspectReport> record = first.nextReport();
-        first.onCompleted(HARMLESS);
+        first.onCompleted(RequestKeys.ofContent(HARMLESS));
         time.advance(Duration.ofSeconds(30));
         first.removeExpired();
         GossipQuarantine second = daemon();
@@ -242,7 +242,7 @@
         lose(first, "c", CRASHING);
         lose(first, "d", CRASHING);
         List<SuspectReport> report = first.nextReport();
-        assertThat(report.get(0).content()).isEqualTo(CRASHING);
+        assertThat(report.get(0).key()).isEqualTo(CRASHING);
         assertThat(report.stream().mapToInt(one -> one.losses().size()).sum()).isBetween(10, 24);
         time.advance(Duration.ofSeconds(3));
         first.removeExpired();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
+import java.util.List;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.quarantine.Fingerprint;
@@ -20,6 +20,9 @@
     /** Size of a rejected response's body, in bytes, up to which its connection is kept. */
     private static final int MAXIMUM_DISCARDED_BYTES = 64 << 10;
 
+    /** Time for which an answer must go on to show that its request crashes no target. */
+    private static final Duration HARMLESS_ANSWER_TIME = Duration.ofSeconds(1);
+
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -34,13 +37,15 @@
     private boolean abandoned;
     private boolean ended;
     private boolean prefillComplete;
+    private boolean successful;
+    private boolean provenHarmless;
     private Instant firstByteAt;
     private long discardedBytes;
     private AttemptFailure rejection;
     private String rejectionDetail;
 
-    /** Content of the request if it was suspect when the attempt started. */
-    private Optional<Fingerprint> suspectContent = Optional.empty();
+    /** Content and parts of the request that were suspect when the attempt started. */
+    private List<Fingerprint> suspects = List.of();
 
     Attempt(
             ExchangeDependencies dependencies,
@@ -61,7 +66,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         targetState().load().addRequest(selection.prefillTokens());
-        suspectContent = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
+        suspects = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
         dependencies.activeAttempts().add(this);
         dependencies
                 .targetConnections()
@@ -133,8 +138,7 @@
             completePrefill();
             targetState().load().removeRequest();
             dependencies.activeAttempts().remove(this);
-            suspectContent.ifPresent(
-                    content -> dependencies.crashingContents().onEnded(targetId(), content));
+            dependencies.crashingContents().onEnded(targetId(), suspects);
         }
     }
 
@@ -166,7 +170,7 @@
         response.weightVersion().ifPresent(targetState()::observeWeightVersion);
         checkResponse(response);
         if (rejection == null) {
-            startRelay(head);
+            startRelay(head, response.isSuccess());
         }
         return true;
     }
@@ -216,9 +220,9 @@
         }
     }
 
-    private void startRelay(HttpResponse head) {
+    private void startRelay(HttpResponse head, boolean success) {
         boolean stream = exchange.request().route().kind().isStream();
-        boolean success = head.status().code() < 300;
+        successful = success;
         if (!exchange.relay().isStarted()) {
             boolean resumable =
                     stream && success && exchange.request().route().kind().isRetryable();
@@ -243,7 +247,9 @@
             exchange.onFirstByte();
         }
         if (exchange.relay().relayContent(content)) {
-            targetState().recordBytesReceived(dependencies.clock().instant());
+            Instant now = dependencies.clock().instant();
+            targetState().recordBytesReceived(now);
+            checkProvenHarmless(now);
             if (exchange.request().route().kind().isStream()) {
                 exchange.restartSilenceTimer();
             }
@@ -258,6 +264,14 @@
         }
     }
 
+    /** A target that crashes for a request does so as it begins to answer. */
+    private void checkProvenHarmless(Instant now) {
+        if (successful && !provenHarmless && !firstByteAt.plus(HARMLESS_ANSWER_TIME).isAfter(now)) {
+            provenHarmless = true;
+            dependencies.crashingContents().onCompleted(exchange::keys);
+        }
+    }
+
     /** Skips the body of a rejected response; ends the attempt if the body is too long to skip. */
     private void discard(ByteBuf content) {
         discardedBytes += content.readableBytes();
@@ -287,9 +301,9 @@
         }
         exchange.relay().complete();
         if (connection.isClosedByPeer()) {
-            exchange.onCompleteByClose(selection, sentAt);
+            exchange.onCompleteByClose(selection, sentAt, successful);
         } else {
-            exchange.onComplete();
+            exchange.onComplete(successful);
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
@@ -1,10 +1,14 @@
 package org.bergamothoist.gateway.caller;
 
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
@@ -14,11 +18,11 @@
 import org.bergamothoist.core.quarantine.TargetLossDetector;
 
 /**
- * Keeps requests whose content crashes targets from being sent, and suspect ones apart. Confined to
- * the event loop.
+ * Keeps requests whose content or prompt crashes targets from being sent, and suspect ones apart.
+ * Confined to the event loop.
  *
- * <p>Fingerprints are passed as suppliers, since they are computed only while losses are known or
- * being checked.
+ * <p>Keys are passed as suppliers, since they are computed only while losses are known or being
+ * checked.
  */
 public final class CrashingContentGuard {
 
@@ -48,23 +52,38 @@
         private static final Separation NONE = new Separation(Set.of(), false, false);
     }
 
-    /** Returns the response to a request whose content is refused, or empty if it is not. */
+    /** Returns the response to a request that is refused, or empty if it is not. */
     Optional<ErrorResponse> refusal(Supplier<RequestKeys> keys) {
-        return isRefused(keys) ? Optional.of(refusal(keys.get().content())) : Optional.empty();
+        Set<Fingerprint> refusedFor = refusedFor(keys);
+        return refusedFor.isEmpty() ? Optional.empty() : Optional.of(refusal(refusedFor));
     }
 
-    private ErrorResponse refusal(Fingerprint content) {
+    private ErrorResponse refusal(Set<Fingerprint> refusedFor) {
+        boolean part = refusedFor.stream().anyMatch(Fingerprint::isPart);
+        Duration timeLeft =
+                refusedFor.stream()
+                        .map(quarantine::timeLeft)
+                        .min(Comparator.naturalOrder())
+                        .orElse(Duration.ZERO);
         return new ErrorResponse(
                 UNAVAILABLE,
                 ErrorCode.REQUEST_QUARANTINED,
-                "targets were lost while running requests with this content; fingerprint "
-                        + content,
-                Optional.of(quarantine.timeLeft(content)));
+                "targets were lost while running requests with this "
+                        + (part ? "part of the prompt; fingerprint " : "content; fingerprint ")
+                        + refusedFor.stream()
+                                .sorted()
+                                .map(Fingerprint::hexadecimal)
+                                .collect(Collectors.joining(", ")),
+                Optional.of(timeLeft));
     }
 
-    /** Returns whether requests with the content are refused. */
+    private Set<Fingerprint> refusedFor(Supplier<RequestKeys> keys) {
+        return quarantine.isActive() ? quarantine.refusedFor(keys.get()) : Set.of();
+    }
+
+    /** Returns whether the request is refused for its content or a part of its prompt. */
     boolean isRefused(Supplier<RequestKeys> keys) {
-        return quarantine.isActive() && quarantine.isQuarantined(keys.get().content());
+        return !refusedFor(keys).isEmpty();
     }
 
     private boolean maySuspect() {
@@ -76,45 +95,48 @@
     }
 
     /**
-     * Returns where a request must or should not be sent. A content that one more loss would
-     * quarantine runs alone among suspects and once at a time, so that it is not quarantined for
-     * another's crash.
+     * Returns where a request must or should not be sent. What one more loss would quarantine runs
+     * alone among suspects and once at a time, so that it is not quarantined for another's crash.
      */
     Separation separation(Supplier<RequestKeys> keys) {
         if (!maySuspect()) {
             return Separation.NONE;
         }
-        Fingerprint fingerprint = keys.get().content();
-        if (quarantine.isOneLossFromQuarantine(fingerprint)) {
-            return new Separation(runs.targets(), true, runs.isRunning(fingerprint));
+        List<Fingerprint> isolated = quarantine.oneLossFromQuarantine(keys.get());
+        if (!isolated.isEmpty()) {
+            return new Separation(
+                    runs.targetsRunning(this::isSuspect),
+                    true,
+                    isolated.stream().anyMatch(runs::isRunning));
         }
-        return isSuspect(fingerprint)
-                ? new Separation(runs.targets(), false, false)
+        return isSuspect(keys.get().content())
+                ? new Separation(runs.targetsRunning(this::isSuspect), false, false)
                 : new Separation(
                         runs.targetsRunning(quarantine::isOneLossFromQuarantine), false, false);
     }
 
     /**
-     * Records that a target starts to run a request; returns the content to pass to {@link
-     * #onEnded} if it is suspect.
+     * Records that a target starts to run a request; returns the keys to pass to {@link #onEnded},
+     * those that are suspect.
      */
-    Optional<Fingerprint> onStarted(String target, Supplier<RequestKeys> keys) {
-        if (!maySuspect() || !isSuspect(keys.get().content())) {
-            return Optional.empty();
+    List<Fingerprint> onStarted(String target, Supplier<RequestKeys> keys) {
+        if (!maySuspect()) {
+            return List.of();
         }
-        runs.begin(target, keys.get().content());
-        return Optional.of(keys.get().content());
+        List<Fingerprint> suspects = keys.get().all().stream().filter(this::isSuspect).toList();
+        suspects.forEach(key -> runs.begin(target, key));
+        return suspects;
     }
 
-    /** Records that a target no longer runs a suspect content. */
-    void onEnded(String target, Fingerprint content) {
-        runs.end(target, content);
+    /** Records that a target no longer runs a request with suspect keys. */
+    void onEnded(String target, List<Fingerprint> suspects) {
+        suspects.forEach(key -> runs.end(target, key));
     }
 
-    /** Records that a target has completed a request. */
+    /** Records that a target has answered a request, and goes on running. */
     void onCompleted(Supplier<RequestKeys> keys) {
         if (quarantine.isActive()) {
-            quarantine.onCompleted(keys.get().content());
+            quarantine.onCompleted(keys.get());
         }
     }
 
@@ -126,7 +148,7 @@
      */
     void onConnectionBroken(
             TargetSelector.Selection selection, BrokenRequest request, Runnable goOn) {
-        boolean suspect = quarantine.isSuspect(request.keys().content());
+        boolean suspect = request.keys().all().stream().anyMatch(quarantine::isSuspect);
         unchecked.merge(request.keys().content(), 1, Integer::sum);
         losses.onConnectionBroken(
                 selection.target(),
@@ -148,12 +170,13 @@
      * Handles an answer that ended with its connection. It shows that the content is harmless only
      * if the target goes on.
      */
-    void onAnswerEndedByClose(TargetSelector.Selection selection, BrokenRequest request) {
+    void onAnswerEndedByClose(
+            TargetSelector.Selection selection, BrokenRequest request, boolean successful) {
         losses.onAnswerEndedByClose(
                 selection.target(),
                 request,
                 finding -> {
-                    if (finding == TargetLossDetector.Finding.LISTENING) {
+                    if (successful && finding == TargetLossDetector.Finding.LISTENING) {
                         onCompleted(request::keys);
                     }
                 });
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -510,15 +510,23 @@
                                 GATEWAY_TIMEOUT, ErrorCode.DEADLINE_EXCEEDED, "no answer"));
     }
 
-    /** Ends the exchange after the complete response was relayed. */
-    void onComplete() {
-        dependencies.crashingContents().onCompleted(this::keys);
+    /**
+     * Ends the exchange after the complete response was relayed.
+     *
+     * @param successful whether it shows that a target can run the request
+     */
+    void onComplete(boolean successful) {
+        if (successful) {
+            dependencies.crashingContents().onCompleted(this::keys);
+        }
         endAnswered();
     }
 
     /** Ends the exchange after a response whose end was that of its connection. */
-    void onCompleteByClose(TargetSelector.Selection selection, Instant sentAt) {
-        dependencies.crashingContents().onAnswerEndedByClose(selection, runSince(sentAt));
+    void onCompleteByClose(TargetSelector.Selection selection, Instant sentAt, boolean successful) {
+        dependencies
+                .crashingContents()
+                .onAnswerEndedByClose(selection, runSince(sentAt), successful);
         endAnswered();
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
@@ -48,7 +48,8 @@
     private static GatewayMessages.SuspectContent encode(SuspectReport suspect) {
         var builder =
                 GatewayMessages.SuspectContent.newBuilder()
-                        .setFingerprint(ByteString.copyFrom(suspect.content().toBytes()));
+                        .setFingerprint(ByteString.copyFrom(suspect.key().toBytes()))
+                        .setPart(suspect.key().isPart());
         for (SuspectReport.ReportedLoss loss : suspect.losses()) {
             builder.addLosses(
                     GatewayMessages.ContentLoss.newBuilder()
@@ -90,13 +91,15 @@
 
     private static SuspectReport decode(GatewayMessages.SuspectContent suspect) {
         return new SuspectReport(
-                decodeFingerprint(suspect.getFingerprint().toByteArray()),
+                decodeFingerprint(
+                        suspect.getPart() ? Fingerprint.Subject.PART : Fingerprint.Subject.CONTENT,
+                        suspect.getFingerprint().toByteArray()),
                 suspect.getLossesList().stream().map(GossipMessageCodec::decode).toList());
     }
 
-    private static Fingerprint decodeFingerprint(byte[] bytes) {
+    private static Fingerprint decodeFingerprint(Fingerprint.Subject subject, byte[] bytes) {
         try {
-            return Fingerprint.ofBytes(Fingerprint.Subject.CONTENT, bytes);
+            return Fingerprint.ofBytes(subject, bytes);
         } catch (IllegalArgumentException exception) {
             throw new GatewayException(
                     ErrorCode.INVALID_PEER_MESSAGE,
