Ignore records of other writers that are out of range

What callers saw (another operator's report): with one entry of a server at port 99999, requests failed, and the list of servers was not followed after it. Own tests of other keys found that a quarantine record with times out of range ended a daemon's reports, and its planned stop never ended.

Cause: fields were checked by type and shape, not by range, and one record that could not be applied kept those after it from being read.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -115,6 +116,13 @@
     }
 
     private void open(String address, BiConsumer<ClientConnection, Throwable> receiver) {
+        InetSocketAddress socketAddress;
+        try {
+            socketAddress = socketAddress(address);
+        } catch (IllegalArgumentException | IndexOutOfBoundsException exception) {
+            receiver.accept(null, new ConnectException("malformed address " + address));
+            return;
+        }
         opened.inc();
         AnswerDecoder decoder = new AnswerDecoder();
         ClientConnection connection = new ClientConnection(address, this, decoder, clock);
@@ -134,7 +142,7 @@
                                         .addLast(decoder, new HttpRequestEncoder(), connection);
                             }
                         })
-                .connect(socketAddress(address))
+                .connect(socketAddress)
                 .addListener(
                         future ->
                                 receiver.accept(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
@@ -152,9 +152,10 @@
         quarantine.merge(List.of(new SuspectReport(record.content(), losses)), "store");
     }
 
-    /** Another daemon's clock may be ahead of this one's. */
+    /** Another daemon's clock may be ahead of this one's, and a record may have any times. */
     private static Duration age(Instant at, Instant now) {
-        return at.isAfter(now) ? Duration.ZERO : Duration.between(at, now);
+        Duration age = at.isAfter(now) ? Duration.ZERO : Duration.between(at, now);
+        return age.compareTo(GossipQuarantine.RETENTION) > 0 ? GossipQuarantine.RETENTION : age;
     }
 
     /** Releases a content whose record was deleted. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -74,6 +74,19 @@
 
     @Override
     public void onRecord(Feed feed, FeedRecord record) {
+        try {
+            apply(feed, record);
+        } catch (RuntimeException exception) {
+            // One record that cannot be applied must not keep those after it from being read.
+            log.write(
+                    DecisionKind.RECORD_IGNORED,
+                    record.key(),
+                    () -> "feed=" + feed + " offset=" + record.offset() + " " + exception,
+                    "not applied");
+        }
+    }
+
+    private void apply(Feed feed, FeedRecord record) {
         switch (feed) {
             case OPERATOR -> onOperatorRecord(record);
             case TARGETS -> onTargetRecord(record);
