--- a/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SoakCommand.java
+++ b/bergamothoist-cli/src/main/java/org/bergamothoist/cli/SoakCommand.java
@@ -27,7 +27,10 @@
 
     @Spec private CommandSpec spec;
 
-    @Option(names = "--gateway", required = true, description = "jar of the gateway")
+    @Option(
+            names = "--gateway",
+            defaultValue = "platform/target/bergamothoist-gateway.jar",
+            description = "jar of the gateway, default ${DEFAULT-VALUE}")
     private Path gateway;
 
     @Option(
@@ -66,8 +69,8 @@
 
     @Option(
             names = "--directory",
-            required = true,
-            description = "receives the settings and logs of the daemons")
+            defaultValue = "target/soak",
+            description = "receives the settings and logs of the daemons, default ${DEFAULT-VALUE}")
     private Path directory;
 
     /** Performs one run of the soak. */
