Take no other answer and no half event for the end of a stream

The cases that were not tried before show it here: a 200 of another content type continued a stream that had broken off, and a stream that may not be resumed, without a length, looked complete though its target ended inside an event.

Cause: an answer that continues a stream was checked by status only, and only resumable streams were followed event by event. Change: an answer of another content type does not continue a stream, and each event stream must end with a whole event.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -171,6 +171,11 @@
         }
         response.weightVersion().ifPresent(targetState()::observeWeightVersion);
         checkResponse(response);
+        if (rejection == null
+                && exchange.relay().isStarted()
+                && !exchange.relay().isContinuedBy(head)) {
+            rejectResponse(AttemptFailure.INVALID_ANSWER, response);
+        }
         if (rejection == null) {
             startRelay(head, response.isSuccess());
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Locale;
 import java.util.Optional;
 import org.bergamothoist.gateway.wire.BodyFraming;
 import org.bergamothoist.gateway.wire.EndToEndHeaders;
@@ -19,12 +20,18 @@
  */
 final class ResponseRelay {
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private final WireDialect dialect;
     private final CallerResponseWriter caller;
     private ServerSentEventBuffer events;
     private int status;
     private long bytes;
     private boolean eventsRelayed;
+    private String contentType = "";
+
+    /** The end of the relayed bytes of an event stream that is not resumable, else null. */
+    private EventBoundary eventBoundary;
 
     ResponseRelay(WireDialect dialect, CallerResponseWriter caller) {
         this.dialect = dialect;
@@ -38,11 +45,14 @@
      */
     void start(HttpResponse head, boolean resumable) {
         status = head.status().code();
+        contentType = contentType(head);
         HttpHeaders headers = EndToEndHeaders.of(head.headers(), dialect::isNeverHopByHop);
         HttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers);
         if (resumable) {
             events = new ServerSentEventBuffer();
+        } else if (contentType.startsWith(EVENT_STREAM)) {
+            eventBoundary = new EventBoundary();
         }
         if (HttpUtil.isContentLengthSet(head) && !resumable) {
             headers.set(
@@ -54,6 +64,15 @@
         caller.sendHead(response);
     }
 
+    private static String contentType(HttpResponse head) {
+        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns whether an answer may continue the one that was started. */
+    boolean isContinuedBy(HttpResponse head) {
+        return contentType(head).equals(contentType);
+    }
+
     boolean isStarted() {
         return status != 0;
     }
@@ -70,6 +89,9 @@
     boolean relayContent(ByteBuf content) {
         bytes += content.readableBytes();
         if (events == null) {
+            if (eventBoundary != null) {
+                eventBoundary.add(content);
+            }
             caller.sendContent(content.retain());
             return true;
         }
@@ -96,7 +118,8 @@
 
     /** Returns whether the target has sent only part of an event. */
     boolean hasIncompleteEvent() {
-        return events != null && events.hasIncompleteEvent();
+        return events != null && events.hasIncompleteEvent()
+                || eventBoundary != null && eventBoundary.isInsideEvent();
     }
 
     void complete() {
