Do not blame a part that was answered within ten seconds

Cause: a content and a part that crash targets ended them so fast after each other that no answer cleared the common part, which then explained all of their losses, and nothing was sent that could clear it. Change: each daemon keeps when it last got an answer for a part, also while no losses are known; a part with an answer in the last ten seconds is neither blamed nor taken for an explanation of others' losses.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -227,6 +227,11 @@
         listener.onQuarantined(content, losses, origin);
     }
 
+    /** Records that a target has answered a request with these parts, which are common then. */
+    public void onAnswered(Collection<Fingerprint> parts) {
+        contents.onAnswered(parts);
+    }
+
     /** Clears the suspicion of the content and the parts of a request that a target answered. */
     public void onCompleted(RequestKeys keys) {
         clear(keys.all(), "completed");
@@ -291,7 +296,7 @@
     public void removeExpired() {
         Instant now = clock.instant();
         contents.removeExpired();
-        if (quarantinedKeys().stream().anyMatch(key -> contents.losses(key).isEmpty())) {
+        if (isActive()) {
             updateQuarantined();
         }
         changes.values().removeIf(at -> at.plus(REPETITION).isBefore(now));
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/RequestKeys.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/RequestKeys.java
@@ -41,15 +41,18 @@
      */
     public static RequestKeys of(
             Fingerprint content, String service, Collection<String> sharedParts) {
-        return new RequestKeys(
-                content,
-                sharedParts.stream()
-                        .limit(MAXIMUM_PARTS)
-                        .collect(
-                                Collectors.toMap(
-                                        part -> FingerprintCalculator.ofPart(service, part),
-                                        RequestKeys::shorten,
-                                        (name, repeated) -> name)));
+        return new RequestKeys(content, parts(service, sharedParts));
+    }
+
+    /** Returns the fingerprints of parts, with the parts' names. */
+    public static Map<Fingerprint, String> parts(String service, Collection<String> sharedParts) {
+        return sharedParts.stream()
+                .limit(MAXIMUM_PARTS)
+                .collect(
+                        Collectors.toMap(
+                                part -> FingerprintCalculator.ofPart(service, part),
+                                RequestKeys::shorten,
+                                (name, repeated) -> name));
     }
 
     private static String shorten(String name) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,12 +38,27 @@
     /** Time by which a loss that another daemon reports may seem to be later than it was. */
     private static final Duration REPORT_DELAY = Duration.ofMillis(10);
 
+    /**
+     * Time for which a part that was answered is not blamed: targets that all end within it may
+     * leave no answer that clears what their requests have in common.
+     */
+    private static final Duration ANSWERED_TIME = Duration.ofSeconds(10);
+
     private final int quarantineThreshold;
     private final Duration retention;
     private final int maximumContents;
     private final InstantSource clock;
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
 
+    /** When this daemon last got an answer to a request with the part. */
+    private final Map<Fingerprint, Instant> answeredParts =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Fingerprint, Instant> eldest) {
+                    return size() > maximumContents;
+                }
+            };
+
     /**
      * A loss of a target that ran the content.
      *
@@ -90,6 +106,7 @@
     public Set<Set<Fingerprint>> quarantined() {
         List<LossAttribution.Suspect> repeated =
                 withLosses(LossAttribution.REPEATED_LOSSES).stream()
+                        .filter(key -> !wasAnsweredLately(key))
                         .map(
                                 key ->
                                         new LossAttribution.Suspect(
@@ -106,10 +123,22 @@
     public List<Fingerprint> oneLossFromQuarantine(RequestKeys keys) {
         return keys.all().stream()
                 .filter(key -> lossCount(key) >= quarantineThreshold - 1)
+                .filter(key -> !wasAnsweredLately(key))
                 .filter(key -> !key.isPart() || !isExplainedByOthers(key, keys))
                 .toList();
     }
 
+    /** Records that a target has answered a request with these parts. */
+    public void onAnswered(Collection<Fingerprint> parts) {
+        Instant now = clock.instant();
+        parts.forEach(part -> answeredParts.put(part, now));
+    }
+
+    private boolean wasAnsweredLately(Fingerprint key) {
+        Instant answeredAt = answeredParts.get(key);
+        return answeredAt != null && clock.instant().isBefore(answeredAt.plus(ANSWERED_TIME));
+    }
+
     private boolean isExplainedByOthers(Fingerprint part, RequestKeys keys) {
         Set<TargetLoss> losses = countedLosses(part);
         return withLosses(quarantineThreshold - 1).stream()
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
@@ -193,6 +194,27 @@
         assertThat(first.isQuarantined(HARMLESS)).isFalse();
     }
 
+    /**
+     * Guards against refusing all requests of a service for the part that they have in common,
+     * because its targets end so fast after each other that no answer clears it.
+     */
+    @Test
+    void commonPartThatWasAnsweredIsServedWhileAllTargetsEnd() {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
+        Fingerprint bad = FingerprintCalculator.ofPart("engines", "dead");
+        first.onAnswered(Set.of(common));
+        for (int target = 0; target < 6; target++) {
+            time.advanceMillis(400);
+            lose(first, "target-" + target, common, target % 2 == 0 ? CRASHING : bad);
+        }
+        assertThat(first.isQuarantined(common)).isFalse();
+        assertThat(first.isQuarantined(CRASHING)).isTrue();
+        assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(bad, "dead", common, "ab"))))
+                .containsExactly(bad);
+        assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(common, "ab")))).isEmpty();
+    }
+
     /** Guards against contents that excuse each other because they always ran together. */
     @Test
     void contentsThatRanTogetherAreRefusedAfterTwoMoreLossesEach() {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -278,7 +278,7 @@
     private void checkProvenHarmless(Instant now) {
         if (successful && !provenHarmless && !firstByteAt.plus(HARMLESS_ANSWER_TIME).isAfter(now)) {
             provenHarmless = true;
-            dependencies.crashingContents().onCompleted(exchange::keys);
+            dependencies.crashingContents().onCompleted(exchange::keys, exchange.parts());
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
@@ -133,8 +133,13 @@
         suspects.forEach(key -> runs.end(target, key));
     }
 
-    /** Records that a target has answered a request, and goes on running. */
-    void onCompleted(Supplier<RequestKeys> keys) {
+    /**
+     * Records that a target has answered a request, and goes on running.
+     *
+     * @param parts the parts of its prompt, which are recorded also while no losses are known
+     */
+    void onCompleted(Supplier<RequestKeys> keys, Set<Fingerprint> parts) {
+        quarantine.onAnswered(parts);
         if (quarantine.isActive()) {
             quarantine.onCompleted(keys.get());
         }
@@ -177,7 +182,7 @@
                 request,
                 finding -> {
                     if (successful && finding == TargetLossDetector.Finding.LISTENING) {
-                        onCompleted(request::keys);
+                        onCompleted(request::keys, request.keys().parts());
                     }
                 });
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -396,6 +396,11 @@
         return keys;
     }
 
+    /** Returns the fingerprints of the parts of the prompt that other requests may share. */
+    Set<Fingerprint> parts() {
+        return RequestKeys.parts(service, request.head().sharedParts()).keySet();
+    }
+
     /**
      * Handles a connection that the target broke off before its answer was complete, possibly
      * because its process ended.
@@ -419,14 +424,10 @@
     }
 
     private BrokenRequest runSince(Instant sentAt) {
-        String origin =
-                "route="
-                        + request.route().name()
-                        + request.organisation()
-                                .map(organisation -> " organisation=" + organisation.name())
-                                .orElse("");
         return new BrokenRequest(
-                keys(), origin, Duration.between(sentAt, dependencies.clock().instant()));
+                keys(),
+                request.describeOrigin(),
+                Duration.between(sentAt, dependencies.clock().instant()));
     }
 
     /** Retries a failed attempt, or ends the request with an error. */
@@ -517,7 +518,7 @@
      */
     void onComplete(boolean successful) {
         if (successful) {
-            dependencies.crashingContents().onCompleted(this::keys);
+            dependencies.crashingContents().onCompleted(this::keys, parts());
         }
         endAnswered();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
@@ -66,4 +66,13 @@
                 .filter(requestDeadline -> requestDeadline.isBefore(routeDeadline))
                 .orElse(routeDeadline);
     }
+
+    /** Describes route and organisation for the log and for operators. */
+    String describeOrigin() {
+        return "route="
+                + route().name()
+                + organisation()
+                        .map(organisation -> " organisation=" + organisation.name())
+                        .orElse("");
+    }
 }
