Do not blame content that was answered within ten seconds

Cause: that the content had been answered shortly before did not count. The rule for parts now holds for all keys. Content that crashes targets is never answered, so that it is refused as before.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -241,6 +241,7 @@
 
     /** Clears the suspicion of the content and the parts of a request that a target answered. */
     public void onCompleted(RequestKeys keys) {
+        contents.onAnswered(keys.all());
         clear(keys.all(), "completed");
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
@@ -39,8 +39,8 @@
     private static final Duration REPORT_DELAY = Duration.ofMillis(10);
 
     /**
-     * Time for which a part that was answered is not blamed: targets that all end within it may
-     * leave no answer that clears what their requests have in common.
+     * Time for which what was answered is not blamed: targets that all end within it may leave no
+     * answer that clears a common part, and a harmless content may be lost with several of them.
      */
     private static final Duration ANSWERED_TIME = Duration.ofSeconds(10);
 
@@ -50,8 +50,8 @@
     private final InstantSource clock;
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
 
-    /** When this daemon last got an answer to a request with the part. */
-    private final Map<Fingerprint, Instant> answeredParts =
+    /** When this daemon last got an answer to a request with the content or part. */
+    private final Map<Fingerprint, Instant> answered =
             new LinkedHashMap<>() {
                 @Override
                 protected boolean removeEldestEntry(Map.Entry<Fingerprint, Instant> eldest) {
@@ -128,17 +128,17 @@
                 .toList();
     }
 
-    /** Records that a target has answered a request with these parts. */
-    public void onAnswered(Collection<Fingerprint> parts) {
+    /** Records that a target has answered a request with these keys. */
+    public void onAnswered(Collection<Fingerprint> keys) {
         Instant now = clock.instant();
-        for (Fingerprint part : parts) {
-            answeredParts.remove(part);
-            answeredParts.put(part, now);
+        for (Fingerprint key : keys) {
+            answered.remove(key);
+            answered.put(key, now);
         }
     }
 
     private boolean wasAnsweredLately(Fingerprint key) {
-        Instant answeredAt = answeredParts.get(key);
+        Instant answeredAt = answered.get(key);
         return answeredAt != null && clock.instant().isBefore(answeredAt.plus(ANSWERED_TIME));
     }
 
@@ -207,9 +207,9 @@
     public boolean removeExpired() {
         boolean removed = entries.values().removeIf(entry -> isOver(entry.newestLossAt()));
         List<Fingerprint> blameable =
-                answeredParts.keySet().stream().filter(part -> !wasAnsweredLately(part)).toList();
-        answeredParts.keySet().removeAll(Set.copyOf(blameable));
-        return removed || blameable.stream().anyMatch(part -> lossCount(part) > 0);
+                answered.keySet().stream().filter(part -> !wasAnsweredLately(part)).toList();
+        answered.keySet().removeAll(Set.copyOf(blameable));
+        return removed || blameable.stream().anyMatch(key -> lossCount(key) > 0);
     }
 
     private Optional<Entry> current(Fingerprint content) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -215,6 +215,25 @@
         assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(common, "ab")))).isEmpty();
     }
 
+    /**
+     * Guards against refusing harmless content for an hour because it was on several targets that
+     * ended within seconds, beside nothing that explains it; it is blamed if no answer follows.
+     */
+    @Test
+    void contentThatWasAnsweredIsNotBlamedForTenSeconds() {
+        GossipQuarantine first = daemon();
+        lose(first, "earlier", CRASHING);
+        first.onCompleted(RequestKeys.ofContent(HARMLESS));
+        for (String target : List.of("a", "b", "c")) {
+            time.advanceMillis(400);
+            lose(first, target, HARMLESS);
+        }
+        assertThat(first.isQuarantined(HARMLESS)).isFalse();
+        time.advance(Duration.ofSeconds(9));
+        first.removeExpired();
+        assertThat(first.isQuarantined(HARMLESS)).isTrue();
+    }
+
     /** Guards against contents that excuse each other because they always ran together. */
     @Test
     void contentsThatRanTogetherAreRefusedAfterTwoMoreLossesEach() {
