Tell other daemons of crashing parts before common ones

What was seen, by reading and a test: a part that many requests have in common is lost with each target and cleared by the next answer, so that it is among the changes of each report, with up to eight losses. Reports sorted by known losses had room for three such parts and for nothing else.

Cause: the order of changes put what was cleared before what crashes targets. Change: repeated losses go first, then what was cleared, with its newest three losses, then what was lost once.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -43,6 +43,9 @@
     /** Maximum number of losses in a report, so that it fits into one datagram. */
     private static final int MAXIMUM_REPORTED_LOSSES = 24;
 
+    /** Maximum number of losses that a report repeats of what was cleared, the newest ones. */
+    private static final int MAXIMUM_CLEARED_LOSSES = 3;
+
     /** Time for which each report repeats a change; reaches each receiver several times. */
     private static final Duration REPETITION = Duration.ofSeconds(2);
 
@@ -332,7 +335,10 @@
     private Set<Fingerprint> reportOrder() {
         Set<Fingerprint> order = new LinkedHashSet<>();
         changes.keySet().stream()
-                .sorted(Comparator.comparing(this::knownLosses).reversed())
+                .sorted(
+                        Comparator.comparing(this::urgency)
+                                .thenComparing(contents::lossCount)
+                                .reversed())
                 .forEach(order::add);
         List<Fingerprint> standing = contents.closeToQuarantine();
         for (int index = 0; index < standing.size(); index++) {
@@ -346,18 +352,30 @@
         return order;
     }
 
-    /**
-     * Returns the number of losses, cleared ones included: that a part which many requests have in
-     * common was completed is as important to others as what crashes targets.
-     */
-    private int knownLosses(Fingerprint key) {
-        return contents.losses(key).size();
+    /** How much other daemons need to know of a change, the most urgent last. */
+    private enum Urgency {
+        SINGLE_LOSS,
+        /** Common parts are lost with many targets, and harmless if they were answered since. */
+        CLEARED,
+        REPEATED_LOSSES
+    }
+
+    private Urgency urgency(Fingerprint key) {
+        int losses = contents.lossCount(key);
+        if (losses >= LossAttribution.REPEATED_LOSSES) {
+            return Urgency.REPEATED_LOSSES;
+        }
+        return losses == 0 ? Urgency.CLEARED : Urgency.SINGLE_LOSS;
     }
 
-    private SuspectReport report(Fingerprint content, Instant now) {
+    private SuspectReport report(Fingerprint key, Instant now) {
+        List<SuspectContents.Loss> losses = contents.losses(key);
+        int limit = isSuspect(key) ? losses.size() : MAXIMUM_CLEARED_LOSSES;
         return new SuspectReport(
-                content,
-                contents.losses(content).stream()
+                key,
+                losses.stream()
+                        .sorted(Comparator.comparing(SuspectContents.Loss::at).reversed())
+                        .limit(limit)
                         .map(
                                 loss ->
                                         new SuspectReport.ReportedLoss(
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -290,6 +291,34 @@
         assertThat(first.nextReport()).hasSizeBetween(1, 2);
     }
 
+    /** Guards against reports that tell of common parts only, which change with each loss. */
+    @Test
+    void reportTellsOfTheCrashingPartBesideManyCommonOnes() {
+        GossipQuarantine first = daemon();
+        Fingerprint bad = FingerprintCalculator.ofPart("engines", "dead");
+        Map<Fingerprint, String> common = new HashMap<>();
+        for (int part = 0; part < 6; part++) {
+            common.put(FingerprintCalculator.ofPart("engines", "common-" + part), "common");
+        }
+        for (int target = 0; target < 8; target++) {
+            for (Fingerprint part : common.keySet()) {
+                lose(first, "target-" + target, part);
+            }
+            if (target < GossipQuarantine.THRESHOLD) {
+                lose(first, "target-" + target, bad, content(100 + target));
+            }
+            first.onCompleted(new RequestKeys(HARMLESS, common));
+            time.advanceMillis(400);
+        }
+        List<SuspectReport> report = first.nextReport();
+        assertThat(report.get(0).key()).isEqualTo(bad);
+        assertThat(report).extracting(SuspectReport::key).containsAll(common.keySet());
+        GossipQuarantine second = daemon();
+        second.merge(report, "peer");
+        assertThat(second.isQuarantined(bad)).isTrue();
+        assertThat(common.keySet()).noneMatch(second::isSuspect);
+    }
+
     /** Guards against a loss that only a daemon knows that was cut off when it saw it. */
     @Test
     void eachSuspectIsToldAgainAfterACut() {
