Tell each change of losses in turn

Cause: a report has room for 24 losses and began with what crashes targets each time, for as long as changes are repeated, so that answers were not told beside eight or more crashing contents. Change: the change that was told least often goes first, and what crashes targets first among equals.

Measured: GossipQuarantineTest.answersAreToldBesideManyCrashingContents failed before, passes."

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -55,6 +55,9 @@
     private final DecisionLog log;
     private final Map<Fingerprint, Instant> changes = new LinkedHashMap<>();
 
+    /** How often reports have told of each change, so that all of them are told in turn. */
+    private final Map<Fingerprint, Integer> timesTold = new HashMap<>();
+
     /** Routes and organisations of the contents whose losses this daemon has observed itself. */
     private final Map<Fingerprint, String> observedOrigins = new HashMap<>();
 
@@ -180,7 +183,7 @@
         if (!contents.record(content, loss)) {
             return false;
         }
-        changes.put(content, clock.instant());
+        markChanged(content);
         int losses = contents.lossCount(content);
         log.write(
                 DecisionKind.CONTENT_SUSPECTED,
@@ -190,6 +193,11 @@
         return losses >= LossAttribution.REPEATED_LOSSES || loss.cleared();
     }
 
+    private void markChanged(Fingerprint key) {
+        changes.put(key, clock.instant());
+        timesTold.remove(key);
+    }
+
     /** Decides anew what is quarantined; a change of some losses may concern others as well. */
     private void updateQuarantined() {
         Set<Fingerprint> before = quarantinedKeys();
@@ -264,7 +272,7 @@
             return;
         }
         for (Fingerprint key : cleared) {
-            changes.put(key, clock.instant());
+            markChanged(key);
             log.write(DecisionKind.CONTENT_CLEARED, key.abbreviated(), () -> reason, "served");
         }
         listener.onChange();
@@ -279,7 +287,7 @@
             for (SuspectReport.ReportedLoss loss : report.losses()) {
                 if (!loss.cleared() && isCleared(report.key(), loss.target())) {
                     // The sender does not know that the content was completed: tell it again.
-                    changes.put(report.key(), now);
+                    markChanged(report.key());
                 }
                 Instant at = now.minus(loss.age());
                 changed |=
@@ -310,6 +318,7 @@
             updateQuarantined();
         }
         changes.values().removeIf(at -> at.plus(REPETITION).isBefore(now));
+        timesTold.keySet().retainAll(changes.keySet());
         observedOrigins.keySet().removeIf(content -> contents.losses(content).isEmpty());
     }
 
@@ -328,6 +337,7 @@
                 break;
             }
             reports.add(report);
+            timesTold.merge(content, 1, Integer::sum);
         }
         return reports;
     }
@@ -336,7 +346,8 @@
         Set<Fingerprint> order = new LinkedHashSet<>();
         changes.keySet().stream()
                 .sorted(
-                        Comparator.comparing(this::urgency)
+                        Comparator.<Fingerprint>comparingInt(key -> -timesTold.getOrDefault(key, 0))
+                                .thenComparing(this::urgency)
                                 .thenComparing(contents::lossCount)
                                 .reversed())
                 .forEach(order::add);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -235,6 +235,50 @@
         assertThat(first.isQuarantined(HARMLESS)).isTrue();
     }
 
+    /**
+     * Guards against refusing all requests of a service for the part that they have in common,
+     * because only crashing ones came for a while.
+     */
+    @Test
+    void partCommonToCrashingContentsAndPartsIsServed() {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("plain", "ab");
+        Fingerprint bad = FingerprintCalculator.ofPart("plain", "dead");
+        for (int target = 0; target < 6; target++) {
+            time.advance(Duration.ofSeconds(2));
+            lose(first, "target-" + target, common, target < 3 ? CRASHING : bad);
+            assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(common, "ab")))).isEmpty();
+        }
+        assertThat(first.isQuarantined(CRASHING)).isTrue();
+        assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(bad, "dead", common, "ab"))))
+                .contains(bad);
+    }
+
+    /**
+     * Guards against refusing harmless content that another daemon got an answer for: reports had
+     * room for what crashes targets only, and the daemon that got the answer ended soon after.
+     */
+    @Test
+    void answersAreToldBesideManyCrashingContents() {
+        GossipQuarantine first = daemon();
+        GossipQuarantine second = daemon();
+        for (String target : List.of("x", "y", "z")) {
+            lose(second, target, HARMLESS);
+        }
+        first.merge(second.nextReport(), "peer");
+        for (int crashing = 10; crashing < 25; crashing++) {
+            for (String target : List.of("a", "b", "c")) {
+                lose(first, target + crashing, content(crashing));
+            }
+        }
+        first.onCompleted(RequestKeys.ofContent(HARMLESS));
+        for (int round = 0; round < 3; round++) {
+            tell(first, second);
+        }
+        assertThat(second.isSuspect(HARMLESS)).isFalse();
+        assertThat(second.isQuarantined(content(24))).isTrue();
+    }
+
     /** Guards against contents that excuse each other because they always ran together. */
     @Test
     void contentsThatRanTogetherAreRefusedAfterTwoMoreLossesEach() {
