Do not blame a part for losses that its requests' own contents explain

Cause: a common part covers the losses of each crashing content and part that comes with it, and was chosen before them. Change: losses of contents and parts that have reached the threshold, and were lost only together with a part, do not count against it, unless it cannot be told apart from them.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
@@ -83,20 +83,52 @@
         Set<Set<Fingerprint>> groups = new HashSet<>();
         for (int index = 0; index < suspects.size(); index++) {
             int count = suspects.get(index).count();
-            if (count >= threshold + EXCESS_LOSSES || count >= threshold && chosen[index]) {
+            if (count >= threshold + EXCESS_LOSSES && !isCommon(index)
+                    || count >= threshold && chosen[index]) {
                 groups.add(group(index, chosen));
             }
         }
         return groups;
     }
 
+    /**
+     * Returns whether a part is common to several requests that crash targets, which explain its
+     * losses: too few remain that are not those of contents and other parts that are lost only
+     * together with it, and that have reached the threshold.
+     */
+    private boolean isCommon(int index) {
+        Suspect part = suspects.get(index);
+        if (!part.key().isPart()) {
+            return false;
+        }
+        Set<TargetLoss> remaining = new HashSet<>(part.losses());
+        for (int other : sharingLosses(part)) {
+            if (other != index && isParticularOf(suspects.get(other), part)) {
+                remaining.removeAll(suspects.get(other).losses());
+            }
+        }
+        return remaining.size() < threshold && remaining.size() < part.losses().size();
+    }
+
+    private boolean isParticularOf(Suspect other, Suspect part) {
+        boolean distinguishable =
+                !other.key().isPart() || !other.coversAllButCoincidenceOf(part.losses());
+        return other.count() >= threshold && distinguishable && part.coversAllOf(other);
+    }
+
+    private Set<Integer> sharingLosses(Suspect suspect) {
+        Set<Integer> sharing = new HashSet<>();
+        suspect.losses().forEach(loss -> sharing.addAll(suspectsByLoss.get(loss)));
+        return sharing;
+    }
+
     private boolean[] choose() {
         boolean[] chosen = new boolean[suspects.size()];
         int[] ownLosses = new int[suspects.size()];
         int[] unexplained = new int[suspects.size()];
         for (int index = 0; index < suspects.size(); index++) {
             ownLosses[index] = countOwnLosses(suspects.get(index));
-            unexplained[index] = suspects.get(index).losses().size();
+            unexplained[index] = isCommon(index) ? 0 : suspects.get(index).losses().size();
         }
         Set<TargetLoss> explained = new HashSet<>();
         int next = mostLikely(ownLosses, unexplained);
@@ -152,8 +184,7 @@
         if (!suspect.key().isPart()) {
             return Set.of(suspect.key());
         }
-        Set<Integer> sharing = new HashSet<>();
-        suspect.losses().forEach(loss -> sharing.addAll(suspectsByLoss.get(loss)));
+        Set<Integer> sharing = sharingLosses(suspect);
         Set<TargetLoss> remaining = new HashSet<>(suspect.losses());
         for (int index : sharing) {
             Suspect other = suspects.get(index);
