Keep the record of refused content whose losses others explain

Cause: when the store answers that a record is stored, the record is deleted again if the content is not refused any more; content whose losses others explain for a moment is not, though its losses count. A deletion is what an operator does to release it. Change: only records whose losses no longer count are deleted.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -124,6 +124,14 @@
         return contents.lossCount(key) > 0;
     }
 
+    /**
+     * Returns whether a content or part has as many losses as are needed to quarantine it, also
+     * while others explain them.
+     */
+    public boolean hasReachedThreshold(Fingerprint key) {
+        return contents.lossCount(key) >= THRESHOLD;
+    }
+
     /** Returns whether one more loss would quarantine the content or part. */
     public boolean isOneLossFromQuarantine(Fingerprint key) {
         return contents.lossCount(key) >= THRESHOLD - 1 && !isQuarantined(key);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
@@ -85,9 +85,13 @@
         }
     }
 
-    /** Deletes the record of a content; repeats it until it is deleted or refused again. */
+    /**
+     * Deletes the record of a content unless its losses count; repeats it until it is deleted or
+     * they count again. The record of a content whose losses others explain stays: its deletion
+     * would release it.
+     */
     private void delete(Fingerprint content) {
-        if (quarantine.isQuarantined(content)) {
+        if (quarantine.hasReachedThreshold(content)) {
             return;
         }
         store.deleteQuarantined(content)
--- /dev/null
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/QuarantineRecordsTest.java
@@ -0,0 +1,79 @@
+package org.bergamothoist.gateway.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.bergamothoist.core.quarantine.Fingerprint;
+import org.bergamothoist.core.quarantine.GossipQuarantine;
+import org.bergamothoist.core.quarantine.LostRun;
+import org.bergamothoist.core.quarantine.RequestKeys;
+import org.bergamothoist.core.quarantine.TargetLoss;
+import org.bergamothoist.core.time.VirtualTimeScheduler;
+import org.bergamothoist.gateway.PlatformAdapter;
+import org.junit.jupiter.api.Test;
+
+class QuarantineRecordsTest {
+
+    private static final Fingerprint EXPLAINED = new Fingerprint("0a".repeat(32));
+
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
+    private final GossipQuarantine quarantine =
+            new GossipQuarantine(
+                    time,
+                    new GossipQuarantine.Listener() {},
+                    (kind, subject, inputs, result) -> {});
+    private final CompletableFuture<Void> published = new CompletableFuture<>();
+    private final List<Object> deleted = new ArrayList<>();
+    private final PlatformAdapter.Store store =
+            (PlatformAdapter.Store)
+                    Proxy.newProxyInstance(
+                            PlatformAdapter.Store.class.getClassLoader(),
+                            new Class<?>[] {PlatformAdapter.Store.class},
+                            (proxy, method, arguments) -> {
+                                if (method.getName().equals("publishQuarantined")) {
+                                    return published;
+                                }
+                                assertThat(method.getName()).isEqualTo("deleteQuarantined");
+                                deleted.add(arguments[0]);
+                                return CompletableFuture.completedFuture(null);
+                            });
+    private final QuarantineRecords records =
+            new QuarantineRecords(
+                    store,
+                    quarantine,
+                    () -> false,
+                    time,
+                    time,
+                    (kind, subject, inputs, result) -> {});
+
+    private void lose(String target, Fingerprint... running) {
+        time.advanceMillis(400);
+        for (Fingerprint key : running) {
+            quarantine.onTargetLost(
+                    new TargetLoss(target, "1"),
+                    Map.of(key, new LostRun("route=r", time.instant(), time.instant())));
+        }
+    }
+
+    /**
+     * Guards against the release of content that crashes targets: others explained its losses when
+     * the store answered, and the deletion of its record cleared it at all daemons.
+     */
+    @Test
+    void recordOfContentWhoseLossesOthersExplainIsKept() {
+        Fingerprint other = new Fingerprint("0b".repeat(32));
+        List.of("a", "b", "c").forEach(target -> lose(target, EXPLAINED, other));
+        records.publish(EXPLAINED, "route=r");
+        List.of("d", "e").forEach(target -> lose(target, other));
+        assertThat(quarantine.isQuarantined(EXPLAINED)).isFalse();
+        published.complete(null);
+        assertThat(deleted).isEmpty();
+        quarantine.onCompleted(RequestKeys.ofContent(EXPLAINED));
+        records.onServedAgain(EXPLAINED);
+        assertThat(deleted).containsExactly(EXPLAINED);
+    }
+}
