Name a method of the attribution of losses by what it tests

Found when the whole change was read again: isParticularOf said nothing to a reader; it is isLostOnlyWith now, with a line of documentation.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
@@ -103,14 +103,15 @@
         }
         Set<TargetLoss> remaining = new HashSet<>(part.losses());
         for (int other : sharingLosses(part)) {
-            if (other != index && isParticularOf(suspects.get(other), part)) {
+            if (other != index && isLostOnlyWith(suspects.get(other), part)) {
                 remaining.removeAll(suspects.get(other).losses());
             }
         }
         return remaining.size() < threshold && remaining.size() < part.losses().size();
     }
 
-    private boolean isParticularOf(Suspect other, Suspect part) {
+    /** Returns whether another suspect is lost only together with a part, but not each time. */
+    private boolean isLostOnlyWith(Suspect other, Suspect part) {
         boolean distinguishable =
                 !other.key().isPart() || !other.coversAllButCoincidenceOf(part.losses());
         return other.count() >= threshold && distinguishable && part.coversAllOf(other);
