Add a review case: harmless requests are refused for a part that crashing ones share

Cause: a part is held responsible from the third loss on unless it was answered within ten seconds, and then no request that could clear it is sent.

--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -48,6 +48,8 @@
     private long highestToken;
     private int beats;
     private boolean busy;
+    private String crashingPath = "";
+    private Runnable onCrash = () -> {};
 
     Engine(
             Harness harness,
@@ -75,6 +77,15 @@
         return server.id;
     }
 
+    /**
+     * Ends the server as soon as it begins to run a request whose path begins so: all connections
+     * and the port are closed.
+     */
+    synchronized void crashOn(String path, Runnable crashed) {
+        crashingPath = path;
+        onCrash = crashed;
+    }
+
     synchronized int version(String model) {
         return versions.get(model);
     }
@@ -119,6 +130,11 @@
             String wait = head.header("Wait-Ms");
             Thread.sleep(wait.isEmpty() ? 0 : Long.parseLong(wait));
             json(out, 200, "{\"boot_epoch\":1,\"next\":0,\"lost\":false,\"events\":[]}");
+        } else if (!crashingPath.isEmpty() && path.startsWith(crashingPath)) {
+            Thread.sleep(eventMilliseconds);
+            harness.log("%s ends as it begins to run %s", server.id, head.header("X-Request-Id"));
+            server.close();
+            onCrash.run();
         } else {
             run(head, out);
         }
