Let the review's scripts need no command but java

Cause: the stand-ins sent signals through the command kill, and took ports from those that outgoing connections get.

Change: signals through the process handle; ports below that range.

--- a/review/standin/CommonPart.java
+++ b/review/standin/CommonPart.java
@@ -59,7 +59,7 @@
         Thread.sleep(2_000);
         harness.log("final fault: all daemons are killed");
         for (Gateway gateway : gateways) {
-            gateway.signal("KILL");
+            gateway.kill();
             gateway.awaitEnd(2_000);
         }
         Thread.sleep(1_000);
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -8,6 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -15,6 +18,9 @@
 /** A gateway process, started as the deploy file says, with settings made from its template. */
 final class Gateway implements AutoCloseable {
 
+    /** Ports of daemons that may be down for a while. */
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
     final String name;
     private final Path root;
     private final Path directory;
@@ -24,7 +30,7 @@
     private Process process;
     private int starts;
 
-    Gateway(Path root, Path directory, String name, String zone, Store store) throws IOException {
+    Gateway(Path root, Path directory, String name, String zone, Store store) {
         this.root = root;
         this.directory = directory;
         this.name = name;
@@ -54,16 +60,18 @@
         return "\"" + text + "\"";
     }
 
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
+    /** Returns free ports below those that the operating system gives to outgoing connections. */
+    private static List<Integer> freePorts(int count) {
         List<Integer> ports = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-            held.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
+        while (ports.size() < count) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                if (TAKEN.add(socket.getLocalPort())) {
+                    ports.add(port);
+                }
+            } catch (IOException exception) {
+                // in use; another one is tried
+            }
         }
         return ports;
     }
@@ -139,8 +147,14 @@
         }
     }
 
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(pid())).start().waitFor();
+    /** Sends SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** Sends SIGKILL. */
+    void kill() {
+        process.destroyForcibly();
     }
 
     boolean awaitEnd(long milliseconds) throws InterruptedException {
--- a/review/standin/Harness.java
+++ b/review/standin/Harness.java
@@ -64,7 +64,7 @@
         return closeable;
     }
 
-    Gateway gateway(String name, String zone, Store store) throws IOException {
+    Gateway gateway(String name, String zone, Store store) {
         return keep(new Gateway(root, directory, name, zone, store));
     }
 
--- a/review/standin/SlowReader.java
+++ b/review/standin/SlowReader.java
@@ -111,7 +111,7 @@
         Thread.sleep(600);
         long signalledAt = System.nanoTime();
         if (harness.trouble) {
-            gateway.signal("TERM");
+            gateway.terminate();
             harness.log("SIGTERM to %s", gateway.name);
             if (!gateway.awaitEnd(9_000)) {
                 gateway.close();
