Review: stand-ins for a second review, earlier cases aside

Cause: the cases of a new review need five folders of their own. Change: the cases, stand-ins and report of the review before move to review/earlier. review/parts has a store, servers, clients and a starter of gateways in one file without dependencies; review/build.sh compiles it.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,6 @@
-#!/bin/sh
-# Builds the stand-ins and cases that the scripts start. Needs a JDK only.
+#!/usr/bin/env bash
+# Builds the stand-ins and the cases; needs a JDK only. The gateway is built by the deploy file.
 set -eu
-cd "$(dirname "$0")"
-out=../target/review
-rm -rf "$out"
-mkdir -p "$out"
-javac -Xlint -d "$out" standin/*.java
+cd "$(dirname "$0")/.."
+mkdir -p target/review-parts
+javac -d target/review-parts review/parts/*.java
