--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-parts
 javac -d target/review-parts review/parts/*.java
+mkdir -p target/review-more
+javac -d target/review-more review/more/standin/*.java
--- a/review/parts/MemoryHang.java
+++ b/review/parts/MemoryHang.java
@@ -139,7 +139,7 @@
         }
         if (TROUBLE) {
             for (Gateway gateway : gateways.subList(1, GATEWAYS)) {
-                gateway.signal("KILL");
+                gateway.kill();
             }
         }
         Thread.sleep(4_000);
--- a/review/parts/Parts.java
+++ b/review/parts/Parts.java
@@ -307,13 +307,16 @@
             note(name + " is ready");
         }
 
-        void signal(String signal) throws Exception {
-            note(name + " gets SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
+        /** Sends SIGTERM. */
+        void terminate() {
+            note(name + " gets SIGTERM");
+            process.destroy();
         }
 
-        Path log() {
-            return folder.resolve(name + "-" + starts + ".log");
+        /** Sends SIGKILL. */
+        void kill() throws Exception {
+            note(name + " gets SIGKILL");
+            process.destroyForcibly().waitFor();
         }
 
         @Override
--- a/review/parts/SlowReaders.java
+++ b/review/parts/SlowReaders.java
@@ -102,7 +102,7 @@
         }
         Thread.sleep(1_000);
         if (TROUBLE) {
-            gateway.signal("TERM");
+            gateway.terminate();
         }
         List<String> cut = new ArrayList<>();
         for (Future<String> read : reads) {
