Close connections on which bytes follow an answer, and do not join heads

Cause: a connection was closed if a decoded message came while no answer was expected. The start of a head isn't a message; it stayed in the decoder, the connection went back to the pool, and the next answer there was read as the rest of that head. So it got the status and the headers of another answer. The same happens when such bytes arrive only after the next request was sent.

Change: bytes that arrive, or are left undecoded, while no answer is expected close the connection before they are decoded. A refusal without the request's identifier is believed only on the first request of a connection.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -186,7 +186,9 @@
     private void checkResponse(ResponseHead response) {
         int status = response.status();
         if (response.notRun() || status == MISDIRECTED) {
-            rejectResponse(AttemptFailure.REFUSED, response);
+            boolean certain = connection.isCertainlyAnswered(response.requestId());
+            rejectResponse(
+                    certain ? AttemptFailure.REFUSED : AttemptFailure.INVALID_ANSWER, response);
         } else if (response.isSuccess() && (!response.signed() || response.contentEncoded())) {
             rejectResponse(AttemptFailure.INVALID_ANSWER, response);
         } else if (status == UNAVAILABLE
@@ -204,7 +206,7 @@
 
     private void rejectResponse(AttemptFailure attemptFailure, ResponseHead response) {
         rejection = attemptFailure;
-        if (attemptFailure == AttemptFailure.REFUSED) {
+        if (response.notRun() || attemptFailure == AttemptFailure.REFUSED) {
             connection.onRefused(response.requestId());
         }
         rejectionDetail =
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -62,20 +62,24 @@
     private int interimAnswers;
     private long ignoredBytes;
     private boolean reusable = true;
+    private boolean usedBefore;
     private boolean broken;
     private Instant usableUntil = Instant.MAX;
 
     /** Requests that the target has refused on this connection. */
     private final Set<String> refusedRequests = new HashSet<>();
 
-    ClientConnection(
-            String address, ConnectionPool pool, AnswerDecoder decoder, InstantSource clock) {
+    ClientConnection(String address, ConnectionPool pool, InstantSource clock) {
         this.address = address;
         this.pool = pool;
-        this.decoder = decoder;
+        this.decoder = new AnswerDecoder(() -> state == State.BUSY, this::onUnexpectedBytes);
         this.clock = clock;
     }
 
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
     String address() {
         return address;
     }
@@ -120,6 +124,16 @@
         return isUsable() && requestId.filter(this::hasRefused).isEmpty();
     }
 
+    /**
+     * Returns whether the answer in progress certainly is that to the request in progress: another
+     * answer may come late or twice, but not before the first request of the connection.
+     *
+     * @param requestId identifier of the request that the answer names
+     */
+    public boolean isCertainlyAnswered(Optional<String> requestId) {
+        return requestId.isPresent() || !usedBefore;
+    }
+
     /** Ends the request in progress without waiting for its answer. */
     public void abort() {
         listener = null;
@@ -145,12 +159,16 @@
         }
     }
 
+    private void onUnexpectedBytes() {
+        reusable = false;
+        close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (state != State.BUSY) {
-                reusable = false;
-                close();
+                onUnexpectedBytes();
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -169,6 +187,10 @@
             fail(AnswerListener.Failure.INVALID_ANSWER, "" + head.decoderResult().cause());
             return;
         }
+        if (JoinedHeads.isJoined(head)) {
+            fail(AnswerListener.Failure.INVALID_ANSWER, "a second status line in the head");
+            return;
+        }
         interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (interim) {
             interimAnswers++;
@@ -248,6 +270,7 @@
             return;
         }
         state = State.IDLE;
+        usedBefore = true;
         channel.config().setAutoRead(true);
         pool.release(this);
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -124,8 +124,7 @@
             return;
         }
         opened.inc();
-        AnswerDecoder decoder = new AnswerDecoder();
-        ClientConnection connection = new ClientConnection(address, this, decoder, clock);
+        ClientConnection connection = new ClientConnection(address, this, clock);
         new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
@@ -139,7 +138,10 @@
                             protected void initChannel(Channel channel) {
                                 connection.attach(channel);
                                 channel.pipeline()
-                                        .addLast(decoder, new HttpRequestEncoder(), connection);
+                                        .addLast(
+                                                connection.decoder(),
+                                                new HttpRequestEncoder(),
+                                                connection);
                             }
                         })
                 .connect(socketAddress)
