Change the group that shares cached parts when an organisation is isolated

Cause: all tenants that aren't isolated had one salt for a model and a version, whatever the configuration. A tenant that became isolated left its parts there, within reach of the others, until memory ran out or weights were loaded. By the same cause a request with X-Model and parts but without X-Token-Usage had no salt at all, which servers take for one text shared by everybody, and a retry or resumed stream used the tenant as of the request's arrival, not of the send.

Change: CacheIsolation names the group by a digest of the organisations that are isolated in the configuration in force, so that all daemons agree without a message and a daemon that starts later needs no history. The owner is asked for at each send. Engines get a salt for every request. Names are digested as UTF-8, so that two isolated tenants whose names don't fit the header's character set no longer share a salt, and a name with a dot can't join another one's.

Cost: when the set of isolated tenants changes, shared parts of the others are read once more; other changes of a configuration cost nothing.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheScope.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/CacheScope.java
@@ -1,27 +1,25 @@
 package org.bergamothoist.core.prefix;
 
-import org.bergamothoist.core.route.Organisation;
+import org.bergamothoist.core.route.CacheOwner;
 
 /**
  * The isolation scope of cached prompt parts: a part is reused only by requests of the scope in
  * which it was computed.
  *
- * @param key identifies the scope; differs between isolated organisations, models and weight
- *     versions
+ * @param key identifies the scope; differs between owners, models and weight versions
  */
 public record CacheScope(String key) {
 
-    private static final String SHARED_OWNER = "common";
+    /** Returns the scope of an owner's requests for a model and weight version. */
+    public static CacheScope of(CacheOwner owner, String model, int weightVersion) {
+        return new CacheScope(owner.key() + "." + model + "." + weightVersion);
+    }
 
     /**
-     * Returns the scope of an organisation's requests. Organisations that are not isolated share
-     * one scope per model and weight version.
-     *
-     * @param organisation the organisation, or null for callers without one
+     * Returns the scope of an owner's requests that do not state their prompt, whose parts were
+     * computed with unknown weights.
      */
-    public static CacheScope of(Organisation organisation, String model, int weightVersion) {
-        boolean isolated = organisation != null && organisation.isolated();
-        String owner = isolated ? "organisation-" + organisation.name() : SHARED_OWNER;
-        return new CacheScope(owner + "." + model + "." + weightVersion);
+    public static CacheScope ofUnstatedPrompt(CacheOwner owner) {
+        return new CacheScope(owner.key());
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/prefix/EnginePlacement.java
@@ -12,7 +12,7 @@
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.fleet.TargetStateTable;
-import org.bergamothoist.core.route.Organisation;
+import org.bergamothoist.core.route.CacheOwner;
 import org.bergamothoist.core.time.RecentDurations;
 
 /**
@@ -107,11 +107,12 @@
     /**
      * The properties of a request that its placement depends on.
      *
+     * @param owner owner of the cached parts that the request may use
      * @param transferMillisecondsPerToken time that an engine needs to fetch a cached token
      */
     public record Requirements(
             PartitionedPrompt prompt,
-            Organisation organisation,
+            CacheOwner owner,
             OutdatedSince outdatedSince,
             double transferMillisecondsPerToken) {}
 
@@ -176,9 +177,7 @@
         PartitionedPrompt prompt = requirements.prompt();
         CacheScope scope =
                 CacheScope.of(
-                        requirements.organisation(),
-                        prompt.model(),
-                        state.weightVersion().orElse(0));
+                        requirements.owner(), prompt.model(), state.weightVersion().orElse(0));
         int reportedTokens =
                 reportedParts.cachedPrefixTokens(
                         engine.incarnation().toString(), scope, prompt.sharedParts());
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/FingerprintCalculator.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/FingerprintCalculator.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Locale;
 import org.bergamothoist.core.identity.ModelKey;
 import org.bergamothoist.core.identity.OrganisationId;
@@ -12,6 +13,9 @@
 /** Computes fingerprints of request contents and digests of caller keys. */
 public final class FingerprintCalculator {
 
+    /** Size of a digest of names, in bytes; targets keep it with each prompt part. */
+    private static final int NAMES_DIGEST_BYTES = 12;
+
     private FingerprintCalculator() {}
 
     /** Returns the fingerprint of an organisation's prompt for a model. */
@@ -59,6 +63,13 @@
         return Fingerprint.ofBytes(Fingerprint.Subject.PART, digest.digest());
     }
 
+    /** Returns a digest, in hexadecimal, that differs between lists of names in any script. */
+    public static String ofNames(List<String> names) {
+        MessageDigest digest = sha256();
+        names.forEach(name -> update(digest, name));
+        return HexFormat.of().formatHex(digest.digest(), 0, NAMES_DIGEST_BYTES);
+    }
+
     /**
      * Returns the SHA-256 of a caller key in hexadecimal, the form in which configuration sheets
      * contain it.
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
@@ -19,6 +19,7 @@
     private final Map<String, ServiceDefinition> services;
     private final Map<String, Organisation> organisationsByKey;
     private final boolean keysRequired;
+    private final CacheIsolation cacheIsolation;
     private final CallerLimits limits;
 
     /**
@@ -36,6 +37,7 @@
         this.routes = List.copyOf(routes);
         this.limits = limits;
         this.keysRequired = !organisations.isEmpty();
+        this.cacheIsolation = new CacheIsolation(organisations);
         this.routesByHost = groupByHost(routes);
         Map<String, ServiceDefinition> servicesByName = new HashMap<>();
         services.forEach(service -> servicesByName.put(service.name(), service));
@@ -80,6 +82,11 @@
         return limits;
     }
 
+    /** Returns which organisations share cached prompt parts. */
+    public CacheIsolation cacheIsolation() {
+        return cacheIsolation;
+    }
+
     /** Returns whether routes that do not allow anonymous requests require a caller key. */
     public boolean keysRequired() {
         return keysRequired;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/EnginePlacementTest.java
@@ -12,6 +12,8 @@
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetStateTable;
+import org.bergamothoist.core.route.CacheIsolation;
+import org.bergamothoist.core.route.CacheOwner;
 import org.bergamothoist.core.route.Organisation;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
@@ -20,6 +22,8 @@
 
 class EnginePlacementTest {
 
+    private static final CacheOwner OWNER = new CacheOwner("group");
+
     private static final PartitionedPrompt PROMPT =
             new PartitionedPrompt(
                     "m",
@@ -56,7 +60,7 @@
 
     private String choose(EnginePlacement.OutdatedSince outdatedSince, Set<String> excluded) {
         EnginePlacement.Requirements requirements =
-                new EnginePlacement.Requirements(PROMPT, null, outdatedSince, 0.002);
+                new EnginePlacement.Requirements(PROMPT, OWNER, outdatedSince, 0.002);
         return placement
                 .choose(engines, requirements, excluded)
                 .map(choice -> choice.target().id())
@@ -82,7 +86,7 @@
                         .orElseThrow();
         reportedParts.add(
                 other.incarnation().toString(),
-                CacheScope.of(null, "m", 1),
+                CacheScope.of(OWNER, "m", 1),
                 PROMPT.sharedParts(),
                 100_000);
         assertThat(choose(version -> Optional.empty(), Set.of())).isEqualTo(other.id());
@@ -91,7 +95,7 @@
     private void reportPartsAt(RegisteredTarget engine) {
         reportedParts.add(
                 engine.incarnation().toString(),
-                CacheScope.of(null, "m", 1),
+                CacheScope.of(OWNER, "m", 1),
                 PROMPT.sharedParts(),
                 100_000);
     }
@@ -173,7 +177,7 @@
         for (RegisteredTarget engine : engines) {
             reportedParts.add(
                     engine.incarnation().toString(),
-                    CacheScope.of(null, "m", 1),
+                    CacheScope.of(OWNER, "m", 1),
                     PROMPT.sharedParts(),
                     100_000);
         }
@@ -187,10 +191,14 @@
     @ParameterizedTest
     @CsvSource({"true,true,false", "true,false,false", "false,false,true"})
     void isolatedOrganisationsShareNoScope(boolean first, boolean second, boolean shared) {
-        CacheScope firstScope = CacheScope.of(organisation("one", first), "m", 1);
-        CacheScope secondScope = CacheScope.of(organisation("two", second), "m", 1);
+        CacheIsolation isolation =
+                new CacheIsolation(
+                        List.of(organisation("one", first), organisation("two", second)));
+        CacheOwner firstOwner = isolation.owner(Optional.of("one"));
+        CacheScope firstScope = CacheScope.of(firstOwner, "m", 1);
+        CacheScope secondScope = CacheScope.of(isolation.owner(Optional.of("two")), "m", 1);
         assertThat(firstScope.equals(secondScope)).isEqualTo(shared);
-        assertThat(firstScope).isNotEqualTo(CacheScope.of(organisation("one", first), "m", 2));
+        assertThat(firstScope).isNotEqualTo(CacheScope.of(firstOwner, "m", 2));
     }
 
     private static Organisation organisation(String name, boolean isolated) {
@@ -225,7 +233,7 @@
             states.find(preferredEngine()).orElseThrow().load().addRequest(0);
         }
         EnginePlacement.Requirements requirements =
-                new EnginePlacement.Requirements(PROMPT, null, version -> Optional.empty(), 0.002);
+                new EnginePlacement.Requirements(PROMPT, OWNER, version -> Optional.empty(), 0.002);
         EnginePlacement.Choice other =
                 placement.choose(sized, requirements, Set.of()).orElseThrow();
         assertThat(other.target().id()).isNotEqualTo(preferredEngine());
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/MultiDaemonPlacementTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/prefix/MultiDaemonPlacementTest.java
@@ -13,12 +13,15 @@
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetStateTable;
+import org.bergamothoist.core.route.CacheOwner;
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
 
 /** Several daemons that place requests when one engine has just become idle. */
 class MultiDaemonPlacementTest {
 
+    private static final CacheOwner OWNER = new CacheOwner("group");
+
     private static final int DAEMONS = 6;
     private static final int PROMPT_TOKENS = 3_000;
 
@@ -101,7 +104,7 @@
                         20,
                         List.of(new PromptPart("question-" + number, PROMPT_TOKENS)));
         EnginePlacement.Requirements requirements =
-                new EnginePlacement.Requirements(prompt, null, version -> Optional.empty(), 0.002);
+                new EnginePlacement.Requirements(prompt, OWNER, version -> Optional.empty(), 0.002);
         EnginePlacement.Choice choice =
                 placements.get(daemon).choose(engines, requirements, Set.of()).orElseThrow();
         OutstandingWork load = load(daemon, choice.target());
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetSelector.java
@@ -14,6 +14,7 @@
 import org.bergamothoist.core.prefix.CacheScope;
 import org.bergamothoist.core.prefix.EnginePlacement;
 import org.bergamothoist.core.prefix.PartitionedPrompt;
+import org.bergamothoist.core.route.CacheOwner;
 import org.bergamothoist.core.route.CacheStoreDefinition;
 import org.bergamothoist.core.route.EngineDefinition;
 import org.bergamothoist.core.route.ServiceDefinition;
@@ -96,12 +97,22 @@
         if (engineDefinition.isEmpty() || prompt.isEmpty()) {
             return servicePlacement
                     .choose(targets, triedTargets)
-                    .map(target -> serviceSelection(request, target, timeLeft, lastEventId));
+                    .map(
+                            target ->
+                                    serviceSelection(
+                                            request,
+                                            target,
+                                            engineDefinition.map(
+                                                    engine ->
+                                                            CacheScope.ofUnstatedPrompt(
+                                                                    cacheOwner(request))),
+                                            timeLeft,
+                                            lastEventId));
         }
         EnginePlacement.Requirements requirements =
                 new EnginePlacement.Requirements(
                         prompt.get(),
-                        request.organisation().orElse(null),
+                        cacheOwner(request),
                         version ->
                                 clusterView
                                         .desiredWeightVersions()
@@ -165,6 +176,7 @@
     private Selection serviceSelection(
             RequestContext request,
             RegisteredTarget target,
+            Optional<CacheScope> scope,
             Duration timeLeft,
             Optional<String> lastEventId) {
         ForwardingMetadata forwarding =
@@ -174,7 +186,7 @@
                         organisationName(request),
                         priority(request),
                         OptionalInt.empty(),
-                        Optional.empty(),
+                        scope,
                         Optional.empty(),
                         Optional.empty(),
                         lastEventId);
@@ -192,9 +204,7 @@
         TargetState state = clusterView.targetStates().getOrCreate(target.incarnation());
         PartitionedPrompt prompt = request.head().prompt().orElseThrow();
         OptionalInt version = state.weightVersion();
-        CacheScope scope =
-                CacheScope.of(
-                        request.organisation().orElse(null), prompt.model(), version.orElse(0));
+        CacheScope scope = CacheScope.of(cacheOwner(request), prompt.model(), version.orElse(0));
         CacheTransfer cacheTransfer =
                 version.isPresent() && prompt.sharedTokens() >= MINIMUM_FETCHED_TOKENS
                         ? cacheTransfer(request, target, scope)
@@ -295,6 +305,19 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whose cached parts a request may use by the configuration in force, which may be
+     * newer than the request: its organisation may have become isolated since.
+     */
+    private CacheOwner cacheOwner(RequestContext request) {
+        return clusterView
+                .configuration()
+                .current()
+                .orElse(request.configuration())
+                .cacheIsolation()
+                .owner(organisationName(request));
+    }
+
     private static Optional<String> organisationName(RequestContext request) {
         return request.organisation().map(organisation -> organisation.name());
     }
