Keep no connections to targets whose refusals name no request

Change: after one such refusal each request to the address gets a new connection, on which a refusal can only be its own.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -108,6 +108,9 @@
      * it once more before its next answer, where only the identifier shows that it is a copy.
      */
     public void onRefused(Optional<String> requestId) {
+        if (requestId.isEmpty()) {
+            pool.keepNoConnections(address);
+        }
         if (requestId.isEmpty() || refusedRequests.size() >= MAXIMUM_REFUSED_REQUESTS) {
             reusable = false;
             return;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -16,8 +16,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -29,6 +31,7 @@
     private final Settings settings;
     private final Counter opened;
     private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+    private final Set<String> notKept = new HashSet<>();
 
     /**
      * How connections are opened and kept.
@@ -159,6 +162,10 @@
     }
 
     void release(ClientConnection connection) {
+        if (notKept.contains(connection.address())) {
+            connection.close();
+            return;
+        }
         idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
                 .addFirst(connection);
     }
@@ -173,8 +180,18 @@
         }
     }
 
+    /**
+     * Keeps no connections to an address whose refusals name no request: only on a new connection
+     * such a refusal certainly is that of the request in progress.
+     */
+    void keepNoConnections(String address) {
+        closeIdle(address);
+        notKept.add(address);
+    }
+
     /** Closes the idle connections to an address whose owner is gone. */
     public void closeIdle(String address) {
+        notKept.remove(address);
         Deque<ClientConnection> kept = idle.remove(address);
         if (kept != null) {
             kept.forEach(ClientConnection::close);
