Confirm the end of an answer that only its connection delimits

Cause: the decoder makes the end of a body without a length out of every end of the channel: the peer's FIN, a reset, a close by this process after a failed write. That end was passed on at once; the probe that tells whether the target still listens was used for the quarantine only.

Change: client connections tell the peer's orderly end from others (half closure); only that one ends such a body. A stream without one whole event is broken. Otherwise the bytes are relayed as they come and the end waits for the probe of the target, one for all that end within 20 ms, for a quarter of the latency objective at most. If no process listens, or the target is known to have ended, a resumable stream goes on elsewhere and any other response is aborted; if nothing speaks against it, it is complete. Targets that leave or are no longer registered are probed too, without counting a loss. Answers with a length or chunks cost no probe any more. An abort of a response to HTTP/1.0, which has no chunks, is a reset.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/TargetLossDetector.java
@@ -73,10 +73,17 @@
     public enum Finding {
         /** Its process has ended unplanned; the loss was reported. */
         LOST,
+        /** No process listens at its address; that may have been planned. */
+        GONE,
         /** A process listens at its address. */
         LISTENING,
         /** It may have ended, as planned or not, or cannot be reached. */
-        UNKNOWN
+        UNKNOWN;
+
+        /** Returns whether the target's process has ended. */
+        public boolean isEnded() {
+            return this == LOST || this == GONE;
+        }
     }
 
     /** Opens a connection to an address to find out whether a process listens there. */
@@ -170,7 +177,7 @@
         }
         if (leaving.containsKey(incarnation)) {
             logResult(target, "leaving", "not counted");
-            onChecked.accept(Finding.UNKNOWN);
+            checkWithoutCounting(target, broken, onChecked);
             return;
         }
         Optional<RegisteredTarget> successor = successor(new Unexplained(target, running, now));
@@ -181,7 +188,7 @@
         }
         if (!registered.test(incarnation)) {
             logResult(target, "no longer registered", "not counted");
-            onChecked.accept(Finding.UNKNOWN);
+            checkWithoutCounting(target, broken, onChecked);
             return;
         }
         Check check = checks.get(incarnation);
@@ -197,6 +204,25 @@
         check.onChecked.add(onChecked);
     }
 
+    /** Checks a target whose end is no loss; needed only for an answer that looks complete. */
+    private void checkWithoutCounting(
+            RegisteredTarget target, boolean broken, Consumer<Finding> onChecked) {
+        if (broken) {
+            onChecked.accept(Finding.UNKNOWN);
+            return;
+        }
+        scheduler.schedule(
+                PROBE_DELAY,
+                () ->
+                        probe.probe(
+                                target.address(),
+                                result ->
+                                        onChecked.accept(
+                                                result == ProbeResult.REFUSED
+                                                        ? Finding.GONE
+                                                        : Finding.UNKNOWN)));
+    }
+
     private static Map<Fingerprint, LostRun> runs(BrokenRequest request, Instant brokenAt) {
         Instant sentAt = brokenAt.minus(request.runTime());
         Map<Fingerprint, LostRun> runs = new LinkedHashMap<>();
@@ -316,11 +342,16 @@
             } else if (!planned && !broken.isEmpty() && unexplained.size() < MAXIMUM_KEPT) {
                 unexplained.add(suspicion);
             }
-            Finding finding =
-                    lost
-                            ? Finding.LOST
-                            : result == ProbeResult.ACCEPTED ? Finding.LISTENING : Finding.UNKNOWN;
+            Finding finding = lost ? Finding.LOST : findingWithoutLoss(result);
             onChecked.forEach(receiver -> receiver.accept(finding));
         }
+
+        private static Finding findingWithoutLoss(ProbeResult result) {
+            return switch (result) {
+                case ACCEPTED -> Finding.LISTENING;
+                case REFUSED -> Finding.GONE;
+                case NO_ANSWER -> Finding.UNKNOWN;
+            };
+        }
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -303,7 +303,22 @@
             failBroken(AttemptFailure.BROKEN_STREAM, "the event stream ended inside an event");
             return;
         }
+        boolean endedByClose = connection.isAnswerEndedByClose();
+        if (endedByClose && exchange.relay().isStreamWithoutEvent()) {
+            failBroken(AttemptFailure.BROKEN_STREAM, "the event stream ended without an event");
+            return;
+        }
         removeFromTargetLoad();
+        if (endedByClose) {
+            exchange.onAnswerEndedByClose(selection, this, sentAt, successful);
+        } else {
+            finishAnswer();
+            exchange.onComplete(successful);
+        }
+    }
+
+    /** Passes on the end of the answer, which is whole. */
+    void finishAnswer() {
         Instant now = dependencies.clock().instant();
         targetState().health().onSuccess(now);
         if (firstByteAt != null) {
@@ -312,11 +327,6 @@
                     .recordCompletion(selection, Duration.between(firstByteAt, now));
         }
         exchange.relay().complete();
-        if (connection.isClosedByPeer()) {
-            exchange.onCompleteByClose(selection, sentAt, successful);
-        } else {
-            exchange.onComplete(successful);
-        }
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -58,6 +59,9 @@
     private boolean responsePending;
     private boolean closeAfterResponse;
 
+    /** Whether only the end of the connection shows that the response in progress is complete. */
+    private boolean responseEndsByClose;
+
     /** Whether the request that is still being received has had its response. */
     private boolean responseSent;
 
@@ -257,7 +261,8 @@
         if (server.isClosingAfterResponses()) {
             closeAfterResponse = true;
         }
-        if (!BodyFraming.isSelfDelimited(head)) {
+        responseEndsByClose = !BodyFraming.isSelfDelimited(head);
+        if (responseEndsByClose) {
             closeAfterResponse = true;
         }
         if (closeAfterResponse) {
@@ -301,6 +306,10 @@
 
     @Override
     public void abort() {
+        if (responseEndsByClose) {
+            // Without a length or chunks, only a reset shows that the response is not complete.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         channel.close();
     }
 
@@ -344,6 +353,6 @@
                         String.valueOf(context.channel().remoteAddress()),
                         () -> "" + cause,
                         "connection closed");
-        context.close();
+        abort();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.bergamothoist.core.error.ErrorCode;
@@ -174,9 +175,14 @@
     /**
      * Handles an answer that ended with its connection. It shows that the content is harmless only
      * if the target goes on.
+     *
+     * @param onChecked called once it is known, or cannot be found out, whether the target ended
      */
     void onAnswerEndedByClose(
-            TargetSelector.Selection selection, BrokenRequest request, boolean successful) {
+            TargetSelector.Selection selection,
+            BrokenRequest request,
+            boolean successful,
+            Consumer<TargetLossDetector.Finding> onChecked) {
         losses.onAnswerEndedByClose(
                 selection.target(),
                 request,
@@ -184,6 +190,7 @@
                     if (successful && finding == TargetLossDetector.Finding.LISTENING) {
                         onCompleted(request::keys, request.keys().parts());
                     }
+                    onChecked.accept(finding);
                 });
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EventBoundary.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EventBoundary.java
@@ -7,12 +7,14 @@
 
     private boolean lineEmpty = true;
     private boolean insideEvent;
+    private boolean wholeEvents;
 
     /** Follows further bytes, which stay readable. */
     void add(ByteBuf bytes) {
         for (int index = bytes.readerIndex(); index < bytes.writerIndex(); index++) {
             byte next = bytes.getByte(index);
             if (next == '\n') {
+                wholeEvents |= insideEvent && lineEmpty;
                 insideEvent &= !lineEmpty;
                 lineEmpty = true;
             } else if (next != '\r') {
@@ -22,6 +24,11 @@
         }
     }
 
+    /** Returns whether the bytes contain a whole event. */
+    boolean hasWholeEvents() {
+        return wholeEvents;
+    }
+
     /** Returns whether the last event is not ended by a blank line. */
     boolean isInsideEvent() {
         return insideEvent;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -62,6 +62,12 @@
      */
     private static final int MAXIMUM_PAUSE_IN_EVENT_GAPS = 7;
 
+    /**
+     * The end of an answer without a length waits for its confirmation for the latency objective
+     * divided by this at most.
+     */
+    private static final int OBJECTIVE_PARTS_FOR_CONFIRMATION = 4;
+
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -523,12 +529,53 @@
         endAnswered();
     }
 
-    /** Ends the exchange after a response whose end was that of its connection. */
-    void onCompleteByClose(TargetSelector.Selection selection, Instant sentAt, boolean successful) {
+    /**
+     * Handles a response whose end was that of its connection. The end is passed on once it is
+     * known that the target has not ended with it, or if that cannot be found out in time.
+     */
+    void onAnswerEndedByClose(
+            TargetSelector.Selection selection,
+            Attempt answered,
+            Instant sentAt,
+            boolean successful) {
+        silenceTimer.cancel();
+        Scheduler.Cancellable limit =
+                dependencies
+                        .scheduler()
+                        .schedule(
+                                request.route()
+                                        .latencyObjective()
+                                        .dividedBy(OBJECTIVE_PARTS_FOR_CONFIRMATION),
+                                () -> completeUnlessEnded(answered));
         dependencies
                 .crashingContents()
-                .onAnswerEndedByClose(selection, runSince(sentAt), successful);
-        endAnswered();
+                .onAnswerEndedByClose(
+                        selection,
+                        runSince(sentAt),
+                        successful,
+                        finding -> {
+                            limit.cancel();
+                            if (finding.isEnded()) {
+                                onTargetEndedWithAnswer(answered);
+                            } else {
+                                completeUnlessEnded(answered);
+                            }
+                        });
+    }
+
+    private void onTargetEndedWithAnswer(Attempt answered) {
+        if (!ended && attempt == answered) {
+            String detail = "the target ended with its answer";
+            answered.recordFailure(AttemptFailure.BROKEN_STREAM, detail);
+            onAttemptFailed(answered, AttemptFailure.BROKEN_STREAM, detail);
+        }
+    }
+
+    private void completeUnlessEnded(Attempt answered) {
+        if (!ended && attempt == answered) {
+            answered.finishAnswer();
+            endAnswered();
+        }
     }
 
     private void endAnswered() {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -111,6 +111,12 @@
         return eventsRelayed;
     }
 
+    /** Returns whether the response is an event stream of which not one whole event has come. */
+    boolean isStreamWithoutEvent() {
+        return events != null && !eventsRelayed
+                || eventBoundary != null && !eventBoundary.hasWholeEvents();
+    }
+
     /** Returns whether the incomplete event is larger than any event may be. */
     boolean hasOversizedEvent() {
         return events != null && events.isOversized();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
@@ -2,12 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 /**
  * Decodes answers; one to a HEAD request has no body whatever its headers say.
@@ -23,24 +23,29 @@
     /** Size of one piece of a body, in bytes: several pieces stay in flight for a large body. */
     private static final int CHUNK_BYTES = 16_384;
 
-    private final BooleanSupplier answerExpected;
-    private final Runnable onUnexpectedBytes;
+    /** The connection whose answers are decoded. */
+    interface Connection {
+
+        /** Returns whether a request waits for its answer. */
+        boolean isAnswerExpected();
+
+        /** Handles bytes that come while no answer is expected. */
+        void onUnexpectedBytes();
+
+        /** Handles the orderly end of the peer's bytes, before what it completes is decoded. */
+        void onInputEnded();
+    }
+
+    private final Connection connection;
     private HttpMethod method = HttpMethod.GET;
 
-    /**
-     * Creates a decoder.
-     *
-     * @param answerExpected whether a request waits for its answer
-     * @param onUnexpectedBytes called when bytes come while no answer is expected
-     */
-    AnswerDecoder(BooleanSupplier answerExpected, Runnable onUnexpectedBytes) {
+    AnswerDecoder(Connection connection) {
         super(
                 new HttpDecoderConfig()
                         .setMaxHeaderSize(MOST_HEADER_BYTES)
                         .setMaxChunkSize(CHUNK_BYTES)
                         .setAllowPartialChunks(true));
-        this.answerExpected = answerExpected;
-        this.onUnexpectedBytes = onUnexpectedBytes;
+        this.connection = connection;
     }
 
     void expect(HttpMethod requestMethod) {
@@ -50,12 +55,20 @@
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
             throws Exception {
-        if (answerExpected.getAsBoolean()) {
+        if (connection.isAnswerExpected()) {
             super.decode(context, bytes, messages);
             return;
         }
         bytes.skipBytes(bytes.readableBytes());
-        onUnexpectedBytes.run();
+        connection.onUnexpectedBytes();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            connection.onInputEnded();
+        }
+        super.userEventTriggered(context, event);
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -28,7 +29,8 @@
  *
  * <p>Bytes that come when no answer is expected belong to no request; the connection is closed.
  */
-public final class ClientConnection extends ChannelInboundHandlerAdapter {
+public final class ClientConnection extends ChannelInboundHandlerAdapter
+        implements AnswerDecoder.Connection {
 
     private static final Pattern TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
@@ -64,6 +66,12 @@
     private boolean reusable = true;
     private boolean usedBefore;
     private boolean broken;
+
+    /** Whether the peer has ended its bytes in order; not so after a reset or an own close. */
+    private boolean inputEnded;
+
+    private boolean selfDelimited;
+    private boolean endedByClose;
     private Instant usableUntil = Instant.MAX;
 
     /** Requests that the target has refused on this connection. */
@@ -72,7 +80,7 @@
     ClientConnection(String address, ConnectionPool pool, InstantSource clock) {
         this.address = address;
         this.pool = pool;
-        this.decoder = new AnswerDecoder(() -> state == State.BUSY, this::onUnexpectedBytes);
+        this.decoder = new AnswerDecoder(this);
         this.clock = clock;
     }
 
@@ -143,9 +151,12 @@
         close();
     }
 
-    /** Returns whether the peer has closed the connection. */
-    public boolean isClosedByPeer() {
-        return !channel.isActive();
+    /**
+     * Returns whether only the end of the connection says that the last answer was complete. If the
+     * peer's process ends within an answer, that looks the same.
+     */
+    public boolean isAnswerEndedByClose() {
+        return endedByClose;
     }
 
     /** Stops or resumes reading the answer. */
@@ -162,7 +173,18 @@
         }
     }
 
-    private void onUnexpectedBytes() {
+    @Override
+    public boolean isAnswerExpected() {
+        return state == State.BUSY;
+    }
+
+    @Override
+    public void onInputEnded() {
+        inputEnded = true;
+    }
+
+    @Override
+    public void onUnexpectedBytes() {
         reusable = false;
         close();
     }
@@ -202,7 +224,8 @@
             }
             return;
         }
-        if (!HttpUtil.isKeepAlive(head) || !BodyFraming.isSelfDelimited(head)) {
+        selfDelimited = BodyFraming.isSelfDelimited(head);
+        if (!HttpUtil.isKeepAlive(head) || !selfDelimited) {
             reusable = false;
         }
         noteIdleTimeout(head);
@@ -244,8 +267,10 @@
         if (!(content instanceof LastHttpContent) || state != State.BUSY) {
             return;
         }
-        if (broken) {
-            fail(AnswerListener.Failure.CONNECTION_LOST, "connection reset");
+        // The decoder takes every end of the channel for that of a body without a length.
+        boolean endedOtherwise = !selfDelimited && !inputEnded && !channel.isActive();
+        if (broken || endedOtherwise) {
+            fail(AnswerListener.Failure.CONNECTION_LOST, "connection reset or closed here");
             return;
         }
         if (!relayed) {
@@ -253,6 +278,7 @@
             ignoring = false;
             return;
         }
+        endedByClose = !selfDelimited && inputEnded;
         state = State.SETTLING;
         AnswerListener completed = listener;
         listener = null;
@@ -293,6 +319,17 @@
         fail(AnswerListener.Failure.CONNECTION_LOST, "" + cause);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            if (state == State.BUSY) {
+                fail(AnswerListener.Failure.CONNECTION_LOST, "connection closed");
+            }
+            close();
+        }
+        context.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         if (state == State.BUSY) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -132,6 +132,8 @@
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells the peer's orderly end from other ends of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) settings.connectTimeout().toMillis())
