Bound the bytes that are held for all peers together

Cause: bodies, incomplete events and answers to the process's own calls were bounded for one connection each, and not in their sum. Beyond the heap each allocation collects in vain, on the one event loop. For each piece of a stream the search for the end of an event went over all that was buffered, so that its work grew with the square of the event.

Change: HeldBytes bounds the sum at a quarter of the heap. Beyond it what holds most is given up first: a body that is still arriving is refused with 503, not run, with Retry-After; an event's attempt fails; a call fails. A counter, a gauge and a log line say so. The rest of a refused body is read and dropped, so that the response isn't reset; if the connection is to close, it lingers for 2 s at most. Pipelined bodies pause reading at 64 KiB. The search for an event's end looks at new bytes only.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -46,6 +46,8 @@
     REQUEST_ENDED,
     /** A request was rejected without being sent to a target. */
     REQUEST_REFUSED,
+    /** Bytes of a peer were given up because all peers' bytes together exceed their limit. */
+    MEMORY_EXHAUSTED,
     /** A caller's connection was closed because of an error of the caller. */
     CALLER_FAULT,
     /** Lines were dropped to limit the volume of the log. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import org.bergamothoist.core.time.MonotonicClock;
 import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.caller.ActiveAttempts;
 import org.bergamothoist.gateway.caller.CallerServer;
 import org.bergamothoist.gateway.caller.CrashingContentGuard;
@@ -95,6 +96,12 @@
     /** Time after the start for which readiness waits for the list of quarantined contents. */
     private static final Duration QUARANTINE_READ_TIMEOUT = Duration.ofSeconds(1);
 
+    /**
+     * The heap divided by this is the limit of the bytes held for peers: they are held twice while
+     * a buffer grows, and the rest of the process needs its share.
+     */
+    private static final int HEAP_PARTS_FOR_HELD_BYTES = 4;
+
     /** Most addresses in an answer to a caller. */
     private static final int MOST_ADDRESSES = 64;
 
@@ -109,6 +116,7 @@
     private final DoubleSupplier random;
     private final MetricRegistry metrics;
     private final DecisionLog log;
+    private final HeldBytes heldBytes;
     private final DaemonId self;
     private final ClusterView clusterView;
     private final CallerDaemons callerDaemons;
@@ -157,9 +165,12 @@
         this.operatorFreshness = new FeedFreshness(paces.longestOperatorRead(), pauses, clock);
         this.callerDaemons = createCallerDaemons();
 
+        this.heldBytes =
+                new HeldBytes(
+                        Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_HELD_BYTES, metrics, log);
         ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
         HttpCaller controlCaller =
-                new HttpCaller(pool("control", CONTROL_CONNECT_TIMEOUT), eventLoop);
+                new HttpCaller(pool("control", CONTROL_CONNECT_TIMEOUT), eventLoop, heldBytes);
         this.store = platform.store(settings.store(), controlCaller);
         this.quarantine = createQuarantine(targets);
         this.updater = createUpdater(platform, targets);
@@ -336,6 +347,7 @@
                 platform.dialect(),
                 activeAttempts,
                 new RelayMetrics(metrics),
+                heldBytes,
                 scheduler,
                 clock,
                 random,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -267,8 +267,7 @@
             }
         }
         if (exchange.relay().hasOversizedEvent()) {
-            connection.abort();
-            fail(AttemptFailure.INVALID_ANSWER, "an event of the stream has no end");
+            endOversizedEvent();
             return;
         }
         if (!exchange.relay().isWritable()) {
@@ -276,6 +275,12 @@
         }
     }
 
+    /** Ends the attempt, because an event of its stream has no end or no memory is left for it. */
+    void endOversizedEvent() {
+        connection.abort();
+        fail(AttemptFailure.INVALID_ANSWER, "an event of the stream is too large");
+    }
+
     /** A target that crashes for a request does so as it begins to answer. */
     private void checkProvenHarmless(Instant now) {
         if (successful && !provenHarmless && !firstByteAt.plus(HARMLESS_ANSWER_TIME).isAfter(now)) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -42,6 +43,12 @@
      */
     private static final int MAXIMUM_PIPELINED_MESSAGES = 256;
 
+    /** The same for the bytes of their bodies. */
+    private static final int MAXIMUM_PIPELINED_BYTES = 64 << 10;
+
+    /** Time for which the rest of a request is read after its response, before the close. */
+    private static final Duration LINGER = Duration.ofSeconds(2);
+
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int CONTENT_TOO_LARGE = 413;
@@ -51,6 +58,7 @@
     private final ExchangeDependencies dependencies;
     private final CallerServer server;
     private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
+    private int pipelinedBytes;
     private Channel channel;
     private Exchange exchange;
     private HttpRequest request;
@@ -128,7 +136,11 @@
         HttpObject httpObject = (HttpObject) message;
         if (responsePending && !receivingRequest || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(httpObject);
-            if (pipelinedMessages.size() > MAXIMUM_PIPELINED_MESSAGES) {
+            if (httpObject instanceof HttpContent content) {
+                pipelinedBytes += content.content().readableBytes();
+            }
+            if (pipelinedMessages.size() > MAXIMUM_PIPELINED_MESSAGES
+                    || pipelinedBytes > MAXIMUM_PIPELINED_BYTES) {
                 channel.config().setAutoRead(false);
             }
             return;
@@ -227,7 +239,10 @@
         }
         boolean collectingBody = body != null && !exchange.isEnded();
         if (collectingBody && !appendBody(content.content())) {
-            return;
+            collectingBody = false;
+            if (responsePending) {
+                return;
+            }
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -238,6 +253,8 @@
             ByteBuf complete = body;
             body = null;
             exchange.dispatch(complete, BodyFraming.isExplicit(request));
+        } else if (exchange.isEnded() && !responsePending && closeAfterResponse) {
+            channel.close();
         } else if (exchange.isEnded() && !responsePending) {
             processPipelinedMessages();
         }
@@ -252,6 +269,9 @@
                     "request body exceeds " + server.limits().bodyBytes() + " bytes");
             return false;
         }
+        if (!exchange.holdBody(body.readableBytes() + piece.readableBytes())) {
+            return false;
+        }
         body.writeBytes(piece);
         return true;
     }
@@ -281,7 +301,13 @@
         responsePending = false;
         responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
+        releaseBody();
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        if (closeAfterResponse && receivingRequest) {
+            // A close while the request still arrives would reset the response on its way.
+            dependencies.scheduler().schedule(LINGER, channel::close);
+            return;
+        }
         if (closeAfterResponse) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
@@ -298,6 +324,7 @@
             return;
         }
         exchange = null;
+        pipelinedBytes = 0;
         channel.config().setAutoRead(true);
         while (!pipelinedMessages.isEmpty() && (!responsePending || receivingRequest)) {
             process(pipelinedMessages.poll());
@@ -336,12 +363,17 @@
         if (exchange != null) {
             exchange.onCallerDisconnected();
         }
+        releaseBody();
+        pipelinedMessages.forEach(ReferenceCountUtil::release);
+        pipelinedMessages.clear();
+    }
+
+    /** Releases what has been received of a body that is not dispatched. */
+    private void releaseBody() {
         if (body != null) {
             body.release();
             body = null;
         }
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -23,6 +23,7 @@
 import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.time.Jitter;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.wire.EndToEndHeaders;
 import org.bergamothoist.gateway.wire.ForwardingMetadata;
 
@@ -68,6 +69,12 @@
      */
     private static final int OBJECTIVE_PARTS_FOR_CONFIRMATION = 4;
 
+    /** Minimum retry delay of callers whose body does not fit into the memory: bodies take time. */
+    private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(1);
+
+    /** Maximum random addition to it, so that such bodies do not all come again at once. */
+    private static final Duration MEMORY_RETRY_JITTER = Duration.ofSeconds(2);
+
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -77,6 +84,8 @@
     private final HttpHeaders headers;
     private final CallerResponseWriter caller;
     private final ResponseRelay relay;
+    private final HeldBytes.Account bodyBytes;
+    private final HeldBytes.Account eventBytes;
     private final Set<String> triedTargets = new HashSet<>();
     private ByteBuf body;
     private boolean bodyAnnounced;
@@ -103,7 +112,10 @@
         this.request = request;
         this.caller = caller;
         this.headers = EndToEndHeaders.of(callerHeaders, dependencies.dialect()::isNeverHopByHop);
-        this.relay = new ResponseRelay(dependencies.dialect(), caller);
+        String requestId = request.head().requestId();
+        this.bodyBytes = dependencies.heldBytes().open(requestId, this::refuseForMemory);
+        this.eventBytes = dependencies.heldBytes().open(requestId, this::onEventRefused);
+        this.relay = new ResponseRelay(dependencies.dialect(), caller, eventBytes);
     }
 
     /**
@@ -146,6 +158,38 @@
                 : " configuration=" + request.configuration().version();
     }
 
+    /**
+     * Counts the bytes of the body that have been received; refuses the request and returns false
+     * if there is no memory for them.
+     */
+    boolean holdBody(long bytes) {
+        boolean held = bodyBytes.update(bytes);
+        if (!held) {
+            refuseForMemory();
+        }
+        return held;
+    }
+
+    private void refuseForMemory() {
+        if (ended) {
+            return;
+        }
+        Duration delay =
+                Jitter.delay(MEMORY_RETRY_DELAY, MEMORY_RETRY_JITTER, dependencies.random());
+        refuse(
+                new ErrorResponse(
+                        UNAVAILABLE,
+                        ErrorCode.LIMIT_EXCEEDED,
+                        "no memory is left for a body of this size",
+                        Optional.of(delay)));
+    }
+
+    private void onEventRefused() {
+        if (!ended && attempt != null) {
+            attempt.endOversizedEvent();
+        }
+    }
+
     /**
      * Sends the request to a target once its body is complete.
      *
@@ -155,6 +199,7 @@
     void dispatch(ByteBuf completeBody, boolean announced) {
         body = completeBody;
         bodyAnnounced = announced;
+        bodyBytes.keep();
         if (ended) {
             releaseBody();
             return;
@@ -638,6 +683,8 @@
     }
 
     private void releaseBody() {
+        bodyBytes.release();
+        eventBytes.release();
         if (body != null) {
             body.release();
             body = null;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeDependencies.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeDependencies.java
@@ -7,6 +7,7 @@
 import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.client.ConnectionPool;
 import org.bergamothoist.gateway.wire.WireDialect;
 
@@ -25,6 +26,7 @@
         WireDialect dialect,
         ActiveAttempts activeAttempts,
         RelayMetrics metrics,
+        HeldBytes heldBytes,
         Scheduler scheduler,
         InstantSource clock,
         DoubleSupplier random,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Locale;
 import java.util.Optional;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.wire.BodyFraming;
 import org.bergamothoist.gateway.wire.EndToEndHeaders;
 import org.bergamothoist.gateway.wire.WireDialect;
@@ -24,6 +25,8 @@
 
     private final WireDialect dialect;
     private final CallerResponseWriter caller;
+    private final HeldBytes.Account account;
+    private boolean refused;
     private ServerSentEventBuffer events;
     private int status;
     private long bytes;
@@ -33,9 +36,15 @@
     /** The end of the relayed bytes of an event stream that is not resumable, else null. */
     private EventBoundary eventBoundary;
 
-    ResponseRelay(WireDialect dialect, CallerResponseWriter caller) {
+    /**
+     * Creates a relay that has sent nothing yet.
+     *
+     * @param account counts the bytes of incomplete events
+     */
+    ResponseRelay(WireDialect dialect, CallerResponseWriter caller, HeldBytes.Account account) {
         this.dialect = dialect;
         this.caller = caller;
+        this.account = account;
     }
 
     /**
@@ -96,6 +105,7 @@
             return true;
         }
         ByteBuf complete = events.add(content);
+        refused = !account.update(events.pendingBytes());
         boolean relayed = complete.isReadable();
         if (relayed) {
             eventsRelayed = true;
@@ -117,9 +127,9 @@
                 || eventBoundary != null && !eventBoundary.hasWholeEvents();
     }
 
-    /** Returns whether the incomplete event is larger than any event may be. */
+    /** Returns whether the incomplete event is larger than it may be. */
     boolean hasOversizedEvent() {
-        return events != null && events.isOversized();
+        return events != null && (refused || events.isOversized());
     }
 
     /** Returns whether the target has sent only part of an event. */
@@ -135,6 +145,7 @@
     void discardIncompleteEvent() {
         if (events != null) {
             events.discardIncomplete();
+            account.release();
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ServerSentEventBuffer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ServerSentEventBuffer.java
@@ -14,6 +14,9 @@
     /** Size of one event, in bytes, beyond which the bytes are taken for no event stream. */
     static final int MAXIMUM_EVENT_BYTES = 256 << 10;
 
+    /** Capacity of the buffer, in bytes, that is kept after a large event. */
+    private static final int MAXIMUM_KEPT_CAPACITY = 4 << 10;
+
     private static final String ID_FIELD = "id:";
 
     private final ByteBuf pending = Unpooled.buffer();
@@ -25,17 +28,26 @@
      * @return the events, possibly none; to be released by the calling method
      */
     ByteBuf add(ByteBuf bytes) {
+        int searched = pending.writerIndex();
         pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-        int end = endOfLastCompleteEvent();
+        int end = endOfLastCompleteEvent(searched);
         ByteBuf events = pending.readBytes(end - pending.readerIndex());
         pending.discardReadBytes();
+        if (!pending.isReadable() && pending.capacity() > MAXIMUM_KEPT_CAPACITY) {
+            pending.capacity(MAXIMUM_KEPT_CAPACITY);
+        }
         recordLastEventId(events.toString(StandardCharsets.UTF_8));
         return events;
     }
 
-    /** Returns the index after the last blank line, or the reader index if there is none. */
-    private int endOfLastCompleteEvent() {
-        for (int index = pending.writerIndex() - 1; index > pending.readerIndex(); index--) {
+    /**
+     * Returns the index after the last blank line, or the reader index if there is none.
+     *
+     * @param searched index before which no blank line ends
+     */
+    private int endOfLastCompleteEvent(int searched) {
+        int first = Math.max(searched, pending.readerIndex() + 1);
+        for (int index = pending.writerIndex() - 1; index >= first; index--) {
             if (pending.getByte(index) != '\n') {
                 continue;
             }
@@ -72,6 +84,10 @@
         return pending.readableBytes() > MAXIMUM_EVENT_BYTES;
     }
 
+    int pendingBytes() {
+        return pending.readableBytes();
+    }
+
     /** Returns whether the buffer holds an incomplete event. */
     boolean hasIncompleteEvent() {
         return pending.isReadable();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.gateway.GatewayException;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 
 /** Makes calls with small bodies. Stages complete on the event loop. */
 public final class HttpCaller {
@@ -30,11 +31,13 @@
 
     private final ConnectionPool pool;
     private final EventLoop eventLoop;
+    private final HeldBytes heldBytes;
 
     /** Creates a caller. */
-    public HttpCaller(ConnectionPool pool, EventLoop eventLoop) {
+    public HttpCaller(ConnectionPool pool, EventLoop eventLoop, HeldBytes heldBytes) {
         this.pool = pool;
         this.eventLoop = eventLoop;
+        this.heldBytes = heldBytes;
     }
 
     /**
@@ -88,6 +91,7 @@
     private final class Pending implements AnswerListener {
 
         private final Call call;
+        private final HeldBytes.Account account;
         private final Instant sendBefore;
         private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -98,6 +102,13 @@
 
         private Pending(Call call, Duration sendWithin) {
             this.call = call;
+            this.account =
+                    heldBytes.open(
+                            call.address() + call.target(),
+                            () -> {
+                                connection.abort();
+                                fail("no memory for the answer");
+                            });
             // System.nanoTime does not include the time in which the machine was suspended.
             this.sendBefore = pool.clock().instant().plus(sendWithin);
             this.timer =
@@ -145,9 +156,10 @@
 
         @Override
         public void onContent(ByteBuf content) {
-            if (body.size() + content.readableBytes() > MOST_BODY_BYTES) {
+            int size = body.size() + content.readableBytes();
+            if (size > MOST_BODY_BYTES || !account.update(size)) {
                 connection.abort();
-                fail("answer larger than " + MOST_BODY_BYTES + " bytes");
+                fail("answer larger than " + MOST_BODY_BYTES + " bytes, or no memory for it");
                 return;
             }
             try {
@@ -160,6 +172,7 @@
         @Override
         public void onComplete() {
             timer.cancel(false);
+            account.release();
             answer.complete(new HttpAnswer(status, headers, body.toByteArray()));
         }
 
@@ -170,6 +183,7 @@
 
         private void fail(String detail) {
             timer.cancel(false);
+            account.release();
             answer.completeExceptionally(
                     new CallException(
                             call.method() + " " + call.address() + call.target() + ": " + detail));
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -46,7 +47,10 @@
                         () -> InstantSource.system().instant().plus(suspendedFor),
                         new ConnectionPool.Settings(TIMEOUT, TIMEOUT, Duration.ZERO),
                         new MetricRegistry());
-        caller = new HttpCaller(pool, eventLoop);
+        HeldBytes heldBytes =
+                new HeldBytes(
+                        1 << 20, new MetricRegistry(), (kind, subject, inputs, outcome) -> {});
+        caller = new HttpCaller(pool, eventLoop, heldBytes);
     }
 
     @AfterEach
@@ -147,4 +151,21 @@
             assertThat(answer.join().status()).isEqualTo(200);
         }
     }
+
+    /** Guards against answers of the store or of engines that fill the memory. */
+    @Test
+    void answerBeyondTheMemoryForAllPeersEndsTheCall() throws Exception {
+        CompletableFuture<HttpAnswer> answer = call(TIMEOUT, () -> {});
+        try (Socket accepted = server.accept()) {
+            assertThat(accepted.getInputStream().read()).isEqualTo('G');
+            accepted.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n".getBytes());
+            try {
+                accepted.getOutputStream().write(new byte[4_000_000]);
+            } catch (IOException closedByTheCaller) {
+                assertThat(closedByTheCaller).isNotNull();
+            }
+            assertThatThrownBy(answer::join).hasMessageContaining("no memory");
+        }
+    }
 }
