Pass on in a planned stop only what can end, and end once it is written

Change: at each send (first attempts, retries, resumed streams, and again when a connection has opened) a stopping daemon compares the time that such requests took lately, on the route and at the target, with what is left; a request that would be answered at its deadline before that is sent too. What can't end is refused with 503, not run; a body that is still arriving is refused as soon as that is known. A connection is busy until its response is written; the idle limit counts from the last byte that was. What is in progress at the end is aborted, which callers without chunks see as a reset.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/time/RecentDurations.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/time/RecentDurations.java
@@ -3,12 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.Optional;
 
 /**
- * Median of a bounded number of recent durations, which single outliers do not change. Confined to
- * the control thread.
+ * A bounded number of recent durations: their median, which single outliers do not change, and
+ * their maximum. Confined to the control thread.
  */
 public final class RecentDurations {
 
@@ -37,6 +38,11 @@
         return medianOf(recent);
     }
 
+    /** Returns the longest of the durations in the window, or empty if there are none. */
+    public Optional<Duration> maximum() {
+        return recent.stream().max(Comparator.naturalOrder());
+    }
+
     /** Returns the median; of an even number of durations the upper one of the middle. */
     public static Optional<Duration> medianOf(Collection<Duration> durations) {
         return durations.stream().sorted().skip(durations.size() / 2).findFirst();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.caller.ActiveAttempts;
+import org.bergamothoist.gateway.caller.AnswerTimes;
 import org.bergamothoist.gateway.caller.CallerServer;
 import org.bergamothoist.gateway.caller.CrashingContentGuard;
 import org.bergamothoist.gateway.caller.ExchangeDependencies;
@@ -348,6 +349,8 @@
                 activeAttempts,
                 new RelayMetrics(metrics),
                 heldBytes,
+                new AnswerTimes(),
+                this::stopsAt,
                 scheduler,
                 clock,
                 random,
@@ -534,6 +537,10 @@
         return quarantineRead;
     }
 
+    private Optional<Instant> stopsAt() {
+        return plannedStop.endsAt();
+    }
+
     private boolean isRefusing() {
         return plannedStop.isRefusing();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.identity.DaemonId;
@@ -36,6 +37,7 @@
     private final DecisionLog log;
     private Runnable onStopped = () -> {};
     private boolean refusing;
+    private Instant endsAt;
 
     PlannedStop(
             DaemonId self,
@@ -57,6 +59,11 @@
         return refusing;
     }
 
+    /** Returns when whatever is in progress ends, or empty before the signal to stop. */
+    Optional<Instant> endsAt() {
+        return Optional.ofNullable(endsAt);
+    }
+
     /**
      * Begins the stop.
      *
@@ -64,7 +71,7 @@
      */
     void begin(Runnable whenStopped) {
         onStopped = whenStopped;
-        Instant signalledAt = clock.instant();
+        endsAt = clock.instant().plus(grace(1)).minus(STOP_MARGIN);
         log.write(
                 DecisionKind.DAEMON_STOPPING,
                 self.toString(),
@@ -76,7 +83,7 @@
                 () -> {
                     refusing = true;
                     callers.stopListening();
-                    finish(signalledAt);
+                    finish();
                 });
     }
 
@@ -85,14 +92,15 @@
         return Duration.ofMillis(Math.round(milliseconds));
     }
 
-    private void finish(Instant signalledAt) {
-        Instant end = signalledAt.plus(grace(1)).minus(STOP_MARGIN);
-        boolean late = !clock.instant().isBefore(end);
+    private void finish() {
+        callers.refuseRequestsThatCannotEnd();
+        boolean late = !clock.instant().isBefore(endsAt);
         long busy = callers.busyConnections();
         if (busy > 0 && !late) {
-            scheduler.schedule(STOP_CHECK, () -> finish(signalledAt));
+            scheduler.schedule(STOP_CHECK, this::finish);
             return;
         }
+        callers.abortConnections();
         log.write(
                 DecisionKind.DAEMON_STOPPED, self.toString(), () -> "requests=" + busy, "stopped");
         onStopped.run();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -92,6 +92,12 @@
             fail(AttemptFailure.NOT_SENT, "" + failure);
             return;
         }
+        if (!exchange.canEndBeforeStop(targetId())) {
+            body.release();
+            opened.abort();
+            fail(AttemptFailure.NOT_SENT, "the daemon stops before the request could end");
+            return;
+        }
         connection = opened;
         sentAt = dependencies.clock().instant();
         opened.send(head, body, this);
@@ -325,6 +331,12 @@
     /** Passes on the end of the answer, which is whole. */
     void finishAnswer() {
         Instant now = dependencies.clock().instant();
+        dependencies
+                .answerTimes()
+                .record(
+                        exchange.request().route().name(),
+                        targetId(),
+                        Duration.between(sentAt, now));
         targetState().health().onSuccess(now);
         if (firstByteAt != null) {
             dependencies
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -59,6 +59,11 @@
     private final CallerServer server;
     private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
     private int pipelinedBytes;
+
+    /** Responses that are complete here, but not yet written to the socket. */
+    private int unwrittenResponses;
+
+    private long lastBytesToWrite;
     private Channel channel;
     private Exchange exchange;
     private HttpRequest request;
@@ -102,6 +107,11 @@
             lastActiveAt = now;
             return;
         }
+        long bytesToWrite = channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+        if (unwrittenResponses > 0 && bytesToWrite != lastBytesToWrite) {
+            lastBytesToWrite = bytesToWrite;
+            lastActiveAt = now;
+        }
         boolean slowHeader =
                 requestFirstByteAt != null
                         && now.isAfter(requestFirstByteAt.plus(limits.headerTimeout()));
@@ -115,20 +125,28 @@
                             + limits.idleTimeout().toMillis()
                             + " ms");
         } else if (idle) {
-            channel.close();
+            abort();
         }
     }
 
     /** Closes the connection as soon as no request is in progress. */
     void closeWhenIdle() {
         closeAfterResponse = true;
-        if (!responsePending && !receivingRequest && requestFirstByteAt == null) {
+        if (!isBusy() && requestFirstByteAt == null) {
             channel.close();
         }
     }
 
+    /** Refuses a request whose body is still arriving, if it could not end before the stop. */
+    void refuseIfStoppingTooSoon() {
+        if (body != null && exchange != null && !exchange.isEnded()) {
+            exchange.refuseIfStoppingTooSoon();
+        }
+    }
+
+    /** Returns whether a request is in progress, or bytes of its response are still to be sent. */
     boolean isBusy() {
-        return responsePending || receivingRequest;
+        return responsePending || receivingRequest || unwrittenResponses > 0;
     }
 
     @Override
@@ -302,7 +320,9 @@
         responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
         releaseBody();
+        unwrittenResponses++;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        written.addListener(done -> onResponseWritten());
         if (closeAfterResponse && receivingRequest) {
             // A close while the request still arrives would reset the response on its way.
             dependencies.scheduler().schedule(LINGER, channel::close);
@@ -318,6 +338,14 @@
         }
     }
 
+    private void onResponseWritten() {
+        unwrittenResponses--;
+        lastActiveAt = dependencies.clock().instant();
+        if (unwrittenResponses == 0) {
+            responseEndsByClose = false;
+        }
+    }
+
     /** Processes messages that arrived while the last response was in progress. */
     private void processPipelinedMessages() {
         if (responsePending || receivingRequest) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -142,6 +142,16 @@
         List.copyOf(connections).forEach(CallerConnectionHandler::closeWhenIdle);
     }
 
+    /** Refuses requests that are still arriving and could no longer end before the daemon does. */
+    public void refuseRequestsThatCannotEnd() {
+        List.copyOf(connections).forEach(CallerConnectionHandler::refuseIfStoppingTooSoon);
+    }
+
+    /** Closes all connections; a response in progress does not look complete. */
+    public void abortConnections() {
+        List.copyOf(connections).forEach(CallerConnectionHandler::abort);
+    }
+
     /** Returns the number of connections with a request in progress. */
     public long busyConnections() {
         return connections.stream().filter(CallerConnectionHandler::isBusy).count();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -226,6 +226,10 @@
             return;
         }
         TargetSelector.Selection selection = chosen.get();
+        if (!canEndBeforeStop(selection.target().id())) {
+            fail("the daemon stops before the request could end", ErrorCode.STOPPING);
+            return;
+        }
         Optional<Duration> retryAfter = retryAfter(selection);
         if (retryAfter.isPresent()) {
             refuse(
@@ -251,6 +255,32 @@
         restartSilenceTimer();
     }
 
+    /**
+     * Returns whether a request that is sent to a target now ends, with its answer or at its
+     * deadline, before a daemon that is stopping ends whatever is in progress.
+     */
+    boolean canEndBeforeStop(String target) {
+        Optional<Instant> stopsAt = dependencies.stopsAt().get();
+        if (stopsAt.isEmpty()) {
+            return true;
+        }
+        Duration left = timeLeft();
+        Duration expected =
+                dependencies
+                        .answerTimes()
+                        .longest(request.route().name(), target)
+                        .filter(longest -> longest.compareTo(left) < 0)
+                        .orElse(left);
+        return !dependencies.clock().instant().plus(expected).isAfter(stopsAt.get());
+    }
+
+    /** Refuses the request, whose body is not complete, if it could not end before the stop. */
+    void refuseIfStoppingTooSoon() {
+        if (!canEndBeforeStop("")) {
+            fail("the daemon stops before the request could end", ErrorCode.STOPPING);
+        }
+    }
+
     private Optional<TargetSelector.Selection> selectTarget() {
         CrashingContentGuard.Separation separation =
                 dependencies.crashingContents().separation(this::keys);
