Leave a stream where it is if no other target takes it

Cause: a resumable stream was taken off a server that was about to load before another server was chosen. If there was none, or all refused it, the caller's connection was closed, although the server would have finished its runs first.

Change: another target that would take the stream, and in a planned stop could end it in time, is looked for before the stream leaves its own. A started stream for which no target is found is tried again each 100 ms for a second at most, also where it was before, unless its content is refused; callers leave after a gap of two seconds at the earliest.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -69,6 +69,14 @@
      */
     private static final int OBJECTIVE_PARTS_FOR_CONFIRMATION = 4;
 
+    /**
+     * Time for which a started stream waits for a target: callers leave after a gap of two seconds
+     * at the earliest.
+     */
+    private static final Duration MAXIMUM_WAIT_FOR_TARGET = Duration.ofSeconds(1);
+
+    private static final Duration TARGET_CHECK_INTERVAL = Duration.ofMillis(100);
+
     /** Minimum retry delay of callers whose body does not fit into the memory: bodies take time. */
     private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -100,6 +108,10 @@
     private boolean pauseAllowed;
 
     private boolean retryReserved;
+
+    /** Since when no target accepts the request, or null. */
+    private Instant withoutTargetSince;
+
     private Duration timeToFirstByte;
     private boolean ended;
 
@@ -222,9 +234,12 @@
     private void sendToTarget() {
         Optional<TargetSelector.Selection> chosen = selectTarget();
         if (chosen.isEmpty()) {
-            fail("no target accepts the request", ErrorCode.NO_TARGET);
+            if (!awaitTarget()) {
+                fail("no target accepts the request", ErrorCode.NO_TARGET);
+            }
             return;
         }
+        withoutTargetSince = null;
         TargetSelector.Selection selection = chosen.get();
         if (!canEndBeforeStop(selection.target().id())) {
             fail("the daemon stops before the request could end", ErrorCode.STOPPING);
@@ -255,6 +270,35 @@
         restartSilenceTimer();
     }
 
+    /**
+     * Looks for a target again soon, also among those tried before, if a stream has started that a
+     * target may go on with. Returns false if none was found for too long.
+     */
+    private boolean awaitTarget() {
+        Instant now = dependencies.clock().instant();
+        if (withoutTargetSince == null) {
+            withoutTargetSince = now;
+        }
+        boolean waiting =
+                relay.isStarted()
+                        && relay.isResumable()
+                        && now.isBefore(withoutTargetSince.plus(MAXIMUM_WAIT_FOR_TARGET))
+                        && !dependencies.crashingContents().isRefused(this::keys);
+        if (waiting) {
+            triedTargets.clear();
+            dependencies
+                    .scheduler()
+                    .schedule(
+                            TARGET_CHECK_INTERVAL,
+                            () -> {
+                                if (!ended) {
+                                    sendToTarget();
+                                }
+                            });
+        }
+        return waiting;
+    }
+
     /**
      * Returns whether a request that is sent to a target now ends, with its answer or at its
      * deadline, before a daemon that is stopping ends whatever is in progress.
@@ -295,6 +339,12 @@
                 : selectTarget(triedTargets);
     }
 
+    private Optional<TargetSelector.Selection> selectTargetBesides(String target) {
+        Set<String> excluded = new HashSet<>(triedTargets);
+        excluded.add(target);
+        return selectTarget(excluded);
+    }
+
     private Optional<TargetSelector.Selection> selectTarget(Set<String> excluded) {
         Optional<String> lastEventId = relay.lastEventId().or(request.head()::lastEventId);
         return dependencies
@@ -407,12 +457,18 @@
         }
     }
 
-    /** Continues a resumable stream at another target, because its target is about to pause. */
+    /**
+     * Continues a resumable stream at another target, because its target is about to pause. The
+     * stream stays where it is if no other target would take it.
+     */
     void migrate(Attempt migrating) {
         boolean migratable =
                 !ended
                         && attempt == migrating
-                        && request.route().kind() == RequestKind.RESUMABLE_STREAM;
+                        && request.route().kind() == RequestKind.RESUMABLE_STREAM
+                        && selectTargetBesides(migrating.targetId())
+                                .filter(other -> canEndBeforeStop(other.target().id()))
+                                .isPresent();
         if (migratable && tryRetry(AttemptFailure.MOVED_AWAY)) {
             migrating.abandon();
             resend(migrating, AttemptFailure.MOVED_AWAY);
