Accept no key if a configuration's list of tenants is empty

Cause: keys were required if there was a tenant. An empty list of tenants, or one that can't be read, was the same as none.

Change: keys are required if the configuration contains tenants at all, whatever the list holds.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/route/RouteConfiguration.java
@@ -25,25 +25,27 @@
     /**
      * Creates a configuration.
      *
-     * @param organisations organisations with caller keys; if empty, no route requires a key
+     * @param organisations organisations with caller keys; if the configuration says nothing of
+     *     organisations, no route requires a key. An empty list has no key that is accepted.
      */
     public RouteConfiguration(
             long version,
             List<Route> routes,
             List<ServiceDefinition> services,
-            List<Organisation> organisations,
+            Optional<List<Organisation>> organisations,
             CallerLimits limits) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.limits = limits;
-        this.keysRequired = !organisations.isEmpty();
-        this.cacheIsolation = new CacheIsolation(organisations);
+        this.keysRequired = organisations.isPresent();
+        List<Organisation> named = organisations.orElse(List.of());
+        this.cacheIsolation = new CacheIsolation(named);
         this.routesByHost = groupByHost(routes);
         Map<String, ServiceDefinition> servicesByName = new HashMap<>();
         services.forEach(service -> servicesByName.put(service.name(), service));
         this.services = Map.copyOf(servicesByName);
         Map<String, Organisation> byKey = new HashMap<>();
-        organisations.forEach(
+        named.forEach(
                 organisation ->
                         organisation.callerKeys().forEach(key -> byKey.put(key, organisation)));
         this.organisationsByKey = Map.copyOf(byKey);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/route/RouteConfigurationTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +35,8 @@
                         route("long", "h.example", "/a/b/"),
                         route("other", "g.example", "/")),
                 List.of(),
-                List.of(new Organisation("o", List.of("key"), OptionalInt.empty(), false)),
+                Optional.of(
+                        List.of(new Organisation("o", List.of("key"), OptionalInt.empty(), false))),
                 new CallerLimits(1, 1, Duration.ZERO, Duration.ZERO));
     }
 
