Blame answered parts later, and let single probes clear a refused part

Cause: a common part was blamed from its third loss on unless it had been answered in the last ten seconds; that it had been answered before counted for nothing, though what crashes each server is never answered. Contents that crash one server each stay below the threshold, so that the part was chosen. Once it was refused, no request that could clear it was let through.

Change: a part that this daemon got an answer for within the retention is blamed from the fifth loss on, the number of crashes after which the users' rule begins to count. A refused part is probed by one daemon, the first by name of those that are ready: one request 10 s after its newest loss, then after pauses that grow threefold, three at most, and none once six losses are known. A probe isn't retried, and a content that is refused itself is no probe.

That a request with a bad part is sent as a probe costs up to three more servers than before.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/SuspectContents.java
@@ -44,13 +44,24 @@
      */
     private static final Duration ANSWERED_TIME = Duration.ofSeconds(10);
 
+    /**
+     * Additional losses from which a part is blamed that was answered within the retention: what
+     * crashes each target is never answered, and a common part takes the losses of several contents
+     * that are below the threshold themselves.
+     */
+    static final int ADDITIONAL_LOSSES_OF_ANSWERED_PARTS = 2;
+
     private final int quarantineThreshold;
     private final Duration retention;
     private final int maximumContents;
     private final InstantSource clock;
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
+    private Instant expiredAt = Instant.MIN;
 
-    /** When this daemon last got an answer to a request with the content or part. */
+    /**
+     * When this daemon last got an answer to a request with the content or part, within the
+     * retention.
+     */
     private final Map<Fingerprint, Instant> answered =
             new LinkedHashMap<>() {
                 @Override
@@ -107,6 +118,7 @@
         List<LossAttribution.Suspect> repeated =
                 withLosses(LossAttribution.REPEATED_LOSSES).stream()
                         .filter(key -> !wasAnsweredLately(key))
+                        .filter(key -> !wasAnswered(key) || lossCount(key) >= blamedFrom(key))
                         .map(
                                 key ->
                                         new LossAttribution.Suspect(
@@ -122,7 +134,7 @@
      */
     public List<Fingerprint> oneLossFromQuarantine(RequestKeys keys) {
         return keys.all().stream()
-                .filter(key -> lossCount(key) >= quarantineThreshold - 1)
+                .filter(key -> lossCount(key) >= blamedFrom(key) - 1)
                 .filter(key -> !wasAnsweredLately(key))
                 .filter(key -> !key.isPart() || !isExplainedByOthers(key, keys))
                 .toList();
@@ -142,6 +154,17 @@
         return answeredAt != null && clock.instant().isBefore(answeredAt.plus(ANSWERED_TIME));
     }
 
+    private boolean wasAnswered(Fingerprint key) {
+        return key.isPart() && answered.containsKey(key);
+    }
+
+    /** Returns the number of losses from which a content or part may be blamed. */
+    private int blamedFrom(Fingerprint key) {
+        return wasAnswered(key)
+                ? quarantineThreshold + ADDITIONAL_LOSSES_OF_ANSWERED_PARTS
+                : quarantineThreshold;
+    }
+
     private boolean isExplainedByOthers(Fingerprint part, RequestKeys keys) {
         Set<TargetLoss> losses = countedLosses(part);
         return withLosses(quarantineThreshold - 1).stream()
@@ -206,10 +229,21 @@
     /** Removes what is too old to count; returns whether that may change what is quarantined. */
     public boolean removeExpired() {
         boolean removed = entries.values().removeIf(entry -> isOver(entry.newestLossAt()));
-        List<Fingerprint> blameable =
-                answered.keySet().stream().filter(part -> !wasAnsweredLately(part)).toList();
-        answered.keySet().removeAll(Set.copyOf(blameable));
-        return removed || blameable.stream().anyMatch(key -> lossCount(key) > 0);
+        answered.entrySet().removeIf(entry -> isOver(entry.getValue()));
+        Instant now = clock.instant();
+        Instant before = expiredAt;
+        expiredAt = now;
+        boolean blameable =
+                answered.entrySet().stream()
+                        .filter(entry -> endsWithin(entry.getValue(), before, now))
+                        .anyMatch(entry -> lossCount(entry.getKey()) > 0);
+        return removed || blameable;
+    }
+
+    /** Returns whether the time ended lately for which what was answered then is not blamed. */
+    private static boolean endsWithin(Instant answeredAt, Instant before, Instant now) {
+        Instant end = answeredAt.plus(ANSWERED_TIME);
+        return end.isAfter(before) && !end.isAfter(now);
     }
 
     private Optional<Entry> current(Fingerprint content) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.time.VirtualTimeScheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class GossipQuarantineTest {
@@ -401,4 +402,78 @@
         assertThat(daemons).allMatch(daemon -> daemon.isQuarantined(CRASHING));
         assertThat(daemons).noneMatch(daemon -> daemon.isQuarantined(content(10)));
     }
+
+    /**
+     * Guards against refusing all requests with a common part that was answered, since three
+     * contents that have it crashed a target each. What was never answered is refused from the
+     * third loss on.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 3, false", "true, 4, false", "true, 5, true", "false, 3, true"})
+    void answeredPartIsBlamedForMoreLosses(boolean wasAnswered, int losses, boolean refused) {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
+        if (wasAnswered) {
+            first.onAnswered(Set.of(common));
+        }
+        time.advance(Duration.ofSeconds(20));
+        first.removeExpired();
+        for (int target = 0; target < losses; target++) {
+            time.advance(Duration.ofSeconds(4));
+            lose(first, "target-" + target, common, content(100 + target));
+        }
+        assertThat(first.refusedFor(new RequestKeys(HARMLESS, Map.of(common, "ab"))).isEmpty())
+                .isEqualTo(!refused);
+    }
+
+    /**
+     * Guards against a refused part that nothing could ever clear, and against probes that end more
+     * targets than may be lost: by one daemon, with growing pauses, three at most.
+     */
+    @Test
+    void refusedPartIsProbedByOneDaemonAFewTimes() {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
+        RequestKeys keys = new RequestKeys(HARMLESS, Map.of(common, "ab"));
+        for (int target = 0; target < 3; target++) {
+            time.advance(Duration.ofSeconds(4));
+            lose(first, "target-" + target, common);
+        }
+        PartProbes probes =
+                new PartProbes(first, () -> true, time, (kind, subject, inputs, outcome) -> {});
+        PartProbes others =
+                new PartProbes(first, () -> false, time, (kind, subject, inputs, outcome) -> {});
+        List<Long> probedAfter = new ArrayList<>();
+        for (long second = 1; second <= 3_000; second++) {
+            time.advance(Duration.ofSeconds(1));
+            assertThat(others.tryBegin(keys, first.refusedFor(keys))).isFalse();
+            if (probes.tryBegin(keys, first.refusedFor(keys))) {
+                probedAfter.add(second);
+            }
+        }
+        assertThat(probedAfter).containsExactly(10L, 40L, 130L);
+        first.onCompleted(keys);
+        assertThat(first.refusedFor(keys)).isEmpty();
+    }
+
+    /** Guards against probes after more losses than the rule allows, and of crashing contents. */
+    @ParameterizedTest
+    @CsvSource({"5, false, true", "6, false, false", "3, true, false"})
+    void partWithManyLossesOrACrashingContentIsNotProbed(
+            int losses, boolean sameContent, boolean probed) {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
+        for (int target = 0; target < losses; target++) {
+            time.advance(Duration.ofSeconds(4));
+            lose(first, "target-" + target, common);
+            if (sameContent) {
+                lose(first, "other-" + target, CRASHING);
+            }
+        }
+        time.advance(Duration.ofMinutes(1));
+        PartProbes probes =
+                new PartProbes(first, () -> true, time, (kind, subject, inputs, outcome) -> {});
+        RequestKeys keys = new RequestKeys(sameContent ? CRASHING : HARMLESS, Map.of(common, "ab"));
+        assertThat(probes.tryBegin(keys, Set.of(common))).isEqualTo(probed);
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -36,6 +36,7 @@
 import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.prefix.EngineCosts;
 import org.bergamothoist.core.prefix.EnginePlacement;
+import org.bergamothoist.core.quarantine.PartProbes;
 import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.rollout.RolloutSettings;
@@ -343,7 +344,14 @@
                 targetSelector,
                 new RetryPolicy(new RetryBudgets(settings.retryShare(), this::retryReserve)),
                 new AdmissionPolicy(random),
-                new CrashingContentGuard(quarantine.contents(), quarantine.losses()),
+                new CrashingContentGuard(
+                        quarantine.contents(),
+                        new PartProbes(
+                                quarantine.contents(),
+                                this::isFirstByName,
+                                MonotonicClock.withoutSystemClock(),
+                                log),
+                        quarantine.losses()),
                 targets,
                 platform.dialect(),
                 activeAttempts,
@@ -537,6 +545,13 @@
         return quarantineRead;
     }
 
+    /** Returns whether no other daemon that is ready has a name before this one's. */
+    private boolean isFirstByName() {
+        return clusterView.daemons().aliveReports().stream()
+                .filter(DaemonReport::ready)
+                .allMatch(report -> self.name().compareTo(report.daemon().name()) <= 0);
+    }
+
     private Optional<Instant> stopsAt() {
         return plannedStop.endsAt();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CrashingContentGuard.java
@@ -14,6 +14,7 @@
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.GossipQuarantine;
+import org.bergamothoist.core.quarantine.PartProbes;
 import org.bergamothoist.core.quarantine.RequestKeys;
 import org.bergamothoist.core.quarantine.SuspectRuns;
 import org.bergamothoist.core.quarantine.TargetLossDetector;
@@ -30,6 +31,7 @@
     private static final int UNAVAILABLE = 503;
 
     private final GossipQuarantine quarantine;
+    private final PartProbes probes;
     private final TargetLossDetector losses;
     private final SuspectRuns runs = new SuspectRuns();
 
@@ -37,8 +39,10 @@
     private final Map<Fingerprint, Integer> unchecked = new HashMap<>();
 
     /** Creates a guard. */
-    public CrashingContentGuard(GossipQuarantine quarantine, TargetLossDetector losses) {
+    public CrashingContentGuard(
+            GossipQuarantine quarantine, PartProbes probes, TargetLossDetector losses) {
         this.quarantine = quarantine;
+        this.probes = probes;
         this.losses = losses;
     }
 
@@ -56,7 +60,9 @@
     /** Returns the response to a request that is refused, or empty if it is not. */
     Optional<ErrorResponse> refusal(Supplier<RequestKeys> keys) {
         Set<Fingerprint> refusedFor = refusedFor(keys);
-        return refusedFor.isEmpty() ? Optional.empty() : Optional.of(refusal(refusedFor));
+        return refusedFor.isEmpty() || probes.tryBegin(keys.get(), refusedFor)
+                ? Optional.empty()
+                : Optional.of(refusal(refusedFor));
     }
 
     private ErrorResponse refusal(Set<Fingerprint> refusedFor) {
