Do not move streams in a planned stop, and ask again for refused ones

Cause: whether another target is there was asked, and not whether it takes the stream. Refusals used up the attempts of the stream.

Change: a stopping daemon moves no streams; it ends before a load would wait for them too long. A started stream that was refused by all is sent again each 100 ms for up to a second since its last events, each time out of the retry budget.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/RetryPolicy.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/relay/RetryPolicy.java
@@ -111,6 +111,14 @@
                 || budgets.of(attempt.service()).tryTake(reservedRetries(attempt, failure));
     }
 
+    /**
+     * Takes a retry from the budget of a service for a stream that has started and was refused.
+     * Returns whether one was left.
+     */
+    public boolean tryResume(String service) {
+        return budgets.of(service).tryTake(0);
+    }
+
     private static int reservedRetries(FailedAttempt attempt, AttemptFailure failure) {
         if (failure == AttemptFailure.MOVED_AWAY) {
             return RESERVED_WHEN_MOVING;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -269,7 +269,7 @@
             targetState().recordBytesReceived(now);
             checkProvenHarmless(now);
             if (exchange.request().route().kind().isStream()) {
-                exchange.restartSilenceTimer();
+                exchange.onEventsRelayed();
             }
         }
         if (exchange.relay().hasOversizedEvent()) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -109,7 +109,7 @@
 
     private boolean retryReserved;
 
-    /** Since when no target accepts the request, or null. */
+    /** Since when no target accepts the stream, or null; counted from its last events. */
     private Instant withoutTargetSince;
 
     private Duration timeToFirstByte;
@@ -239,7 +239,6 @@
             }
             return;
         }
-        withoutTargetSince = null;
         TargetSelector.Selection selection = chosen.get();
         if (!canEndBeforeStop(selection.target().id())) {
             fail("the daemon stops before the request could end", ErrorCode.STOPPING);
@@ -424,6 +423,12 @@
                 : request.route().latencyObjective().multipliedBy(MAXIMUM_SILENCE_IN_OBJECTIVES);
     }
 
+    /** Notes that the caller was sent further events of a stream. */
+    void onEventsRelayed() {
+        withoutTargetSince = null;
+        restartSilenceTimer();
+    }
+
     void stopSilenceTimer() {
         silenceTimer.cancel();
     }
@@ -459,16 +464,16 @@
 
     /**
      * Continues a resumable stream at another target, because its target is about to pause. The
-     * stream stays where it is if no other target would take it.
+     * stream stays where it is if no other target would take it, or if this daemon is stopping: the
+     * target ends its runs before it pauses, and this daemon ends before that makes it late.
      */
     void migrate(Attempt migrating) {
         boolean migratable =
                 !ended
                         && attempt == migrating
                         && request.route().kind() == RequestKind.RESUMABLE_STREAM
-                        && selectTargetBesides(migrating.targetId())
-                                .filter(other -> canEndBeforeStop(other.target().id()))
-                                .isPresent();
+                        && dependencies.stopsAt().get().isEmpty()
+                        && selectTargetBesides(migrating.targetId()).isPresent();
         if (migratable && tryRetry(AttemptFailure.MOVED_AWAY)) {
             migrating.abandon();
             resend(migrating, AttemptFailure.MOVED_AWAY);
@@ -581,6 +586,13 @@
         }
         history = history.after(failure);
         attempt = null;
+        if (failure == AttemptFailure.REFUSED
+                && relay.isResumable()
+                && dependencies.retryPolicy().tryResume(service)
+                && awaitTarget()) {
+            relay.discardIncompleteEvent();
+            return;
+        }
         ErrorCode code =
                 dependencies.crashingContents().isRefused(this::keys)
                         ? ErrorCode.REQUEST_QUARANTINED
