Count losses for probes as they count for the quarantine

Cause: the part had six losses, of which four count, since targets that end together count once and cleared losses don't count. The bound on probes took all six.

Change: the bound takes the losses that count.

Result: a case of GossipQuarantineTest with targets that end together, which the bound of before would not probe; the class passes.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -145,6 +145,11 @@
         return contents.oneLossFromQuarantine(keys);
     }
 
+    /** Returns the number of independent losses that count for the content or part. */
+    public int lossCount(Fingerprint key) {
+        return contents.lossCount(key);
+    }
+
     /** Returns the losses of a content, cleared ones included. */
     public List<SuspectContents.Loss> losses(Fingerprint content) {
         return contents.losses(content);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
@@ -26,7 +26,10 @@
 
     private static final int MAXIMUM_PROBES = 3;
 
-    /** Losses of a part from which it is not probed any more, whichever daemon saw them. */
+    /**
+     * Losses from which a part is not probed any more, whichever daemon saw them; several targets
+     * that end together count once.
+     */
     private static final int MAXIMUM_LOSSES = 6;
 
     private static final int MAXIMUM_PARTS = 1_000;
@@ -94,7 +97,7 @@
     }
 
     private boolean hasLostTooMany(Fingerprint part) {
-        return quarantine.losses(part).size() >= MAXIMUM_LOSSES;
+        return quarantine.lossCount(part) >= MAXIMUM_LOSSES;
     }
 
     private Instant dueAt(Set<Fingerprint> parts, Begun before) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -458,14 +458,22 @@
 
     /** Guards against probes after more losses than the rule allows, and of crashing contents. */
     @ParameterizedTest
-    @CsvSource({"5, false, true", "6, false, false", "3, true, false"})
+    @CsvSource({
+        "5, 1, false, true",
+        "6, 1, false, false",
+        // Targets that end together count once, also when they are many.
+        "3, 4, false, true",
+        "3, 1, true, false"
+    })
     void partWithManyLossesOrACrashingContentIsNotProbed(
-            int losses, boolean sameContent, boolean probed) {
+            int losses, int targets, boolean sameContent, boolean probed) {
         GossipQuarantine first = daemon();
         Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
         for (int target = 0; target < losses; target++) {
             time.advance(Duration.ofSeconds(4));
-            lose(first, "target-" + target, common);
+            for (int together = 0; together < targets; together++) {
+                lose(first, "target-" + target + "-" + together, common);
+            }
             if (sameContent) {
                 lose(first, "other-" + target, CRASHING);
             }
