--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
@@ -32,11 +32,15 @@
         /** Handles bytes that come while no answer is expected. */
         void onUnexpectedBytes();
 
+        /** Handles a head that has a folded line. */
+        void onFoldedLine();
+
         /** Handles the orderly end of the peer's bytes, before what it completes is decoded. */
         void onInputEnded();
     }
 
     private final Connection connection;
+    private final FoldedLineDetector foldedLines = new FoldedLineDetector();
     private HttpMethod method = HttpMethod.GET;
 
     AnswerDecoder(Connection connection) {
@@ -50,6 +54,17 @@
 
     void expect(HttpMethod requestMethod) {
         method = requestMethod;
+        foldedLines.expectHead();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes && foldedLines.containsFoldedLine(bytes)) {
+            bytes.release();
+            connection.onFoldedLine();
+            return;
+        }
+        super.channelRead(context, message);
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -178,6 +178,11 @@
         return state == State.BUSY;
     }
 
+    @Override
+    public void onFoldedLine() {
+        fail(AnswerListener.Failure.INVALID_ANSWER, "a folded line in the head");
+    }
+
     @Override
     public void onInputEnded() {
         inputEnded = true;
