--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -36,7 +36,6 @@
 import org.bergamothoist.core.limit.RetryBudgets;
 import org.bergamothoist.core.prefix.EngineCosts;
 import org.bergamothoist.core.prefix.EnginePlacement;
-import org.bergamothoist.core.quarantine.PartProbes;
 import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.rollout.RolloutSettings;
@@ -45,12 +44,12 @@
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.caller.ActiveAttempts;
-import org.bergamothoist.gateway.caller.AnswerTimes;
 import org.bergamothoist.gateway.caller.CallerServer;
 import org.bergamothoist.gateway.caller.CrashingContentGuard;
 import org.bergamothoist.gateway.caller.ExchangeDependencies;
 import org.bergamothoist.gateway.caller.PreDispatchFilters;
 import org.bergamothoist.gateway.caller.RelayMetrics;
+import org.bergamothoist.gateway.caller.StopDeadline;
 import org.bergamothoist.gateway.caller.TargetSelector;
 import org.bergamothoist.gateway.client.ConnectionPool;
 import org.bergamothoist.gateway.client.HttpCaller;
@@ -98,10 +97,7 @@
     /** Time after the start for which readiness waits for the list of quarantined contents. */
     private static final Duration QUARANTINE_READ_TIMEOUT = Duration.ofSeconds(1);
 
-    /**
-     * The heap divided by this is the limit of the bytes held for peers: they are held twice while
-     * a buffer grows, and the rest of the process needs its share.
-     */
+    /** The heap divided by this is the limit of the bytes held for peers. */
     private static final int HEAP_PARTS_FOR_HELD_BYTES = 4;
 
     /** Most addresses in an answer to a caller. */
@@ -231,6 +227,7 @@
                 targets,
                 store,
                 this::isOrderHolder,
+                this::isFirstByName,
                 this::reportSoon,
                 scheduler,
                 // A step of the clock on one daemon must not end what all of them refuse.
@@ -345,20 +342,13 @@
                 new RetryPolicy(new RetryBudgets(settings.retryShare(), this::retryReserve)),
                 new AdmissionPolicy(random),
                 new CrashingContentGuard(
-                        quarantine.contents(),
-                        new PartProbes(
-                                quarantine.contents(),
-                                this::isFirstByName,
-                                MonotonicClock.withoutSystemClock(),
-                                log),
-                        quarantine.losses()),
+                        quarantine.contents(), quarantine.probes(), quarantine.losses()),
                 targets,
                 platform.dialect(),
                 activeAttempts,
                 new RelayMetrics(metrics),
                 heldBytes,
-                new AnswerTimes(),
-                this::stopsAt,
+                new StopDeadline(this::stopsAt, clock),
                 scheduler,
                 clock,
                 random,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerTimes.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerTimes.java
@@ -8,7 +8,7 @@
 import org.bergamothoist.core.time.RecentDurations;
 
 /** Times from the send of a request to the end of its answer. Confined to the event loop. */
-public final class AnswerTimes {
+final class AnswerTimes {
 
     /** Number of answers of a route, and of a target on a route, that are remembered. */
     private static final int WINDOW = 16;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -332,6 +332,7 @@
     void finishAnswer() {
         Instant now = dependencies.clock().instant();
         dependencies
+                .stopDeadline()
                 .answerTimes()
                 .record(
                         exchange.request().route().name(),
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -8,10 +8,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
@@ -45,44 +43,6 @@
     /** Maximum random addition to the retry delay, so that callers do not retry all at once. */
     private static final Duration RETRY_JITTER = Duration.ofMillis(400);
 
-    /**
-     * Silence of a target after which a retryable request is sent to another one, as a multiple of
-     * the route's latency objective.
-     */
-    private static final int MAXIMUM_SILENCE_IN_OBJECTIVES = 2;
-
-    /**
-     * Time without an event after which a stream is continued at another target, as a multiple of
-     * the route's longest gap between events. Callers wait at least eight gaps.
-     */
-    private static final int MAXIMUM_SILENCE_IN_EVENT_GAPS = 5;
-
-    /**
-     * The same for a stream whose target sends events of other streams: an engine that is short of
-     * memory pauses single streams, and goes on with them sooner than another one could.
-     */
-    private static final int MAXIMUM_PAUSE_IN_EVENT_GAPS = 7;
-
-    /**
-     * The end of an answer without a length waits for its confirmation for the latency objective
-     * divided by this at most.
-     */
-    private static final int OBJECTIVE_PARTS_FOR_CONFIRMATION = 4;
-
-    /**
-     * Time for which a started stream waits for a target: callers leave after a gap of two seconds
-     * at the earliest.
-     */
-    private static final Duration MAXIMUM_WAIT_FOR_TARGET = Duration.ofSeconds(1);
-
-    private static final Duration TARGET_CHECK_INTERVAL = Duration.ofMillis(100);
-
-    /** Minimum retry delay of callers whose body does not fit into the memory: bodies take time. */
-    private static final Duration MEMORY_RETRY_DELAY = Duration.ofSeconds(1);
-
-    /** Maximum random addition to it, so that such bodies do not all come again at once. */
-    private static final Duration MEMORY_RETRY_JITTER = Duration.ofSeconds(2);
-
     private static final int UNAVAILABLE = 503;
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -94,7 +54,10 @@
     private final ResponseRelay relay;
     private final HeldBytes.Account bodyBytes;
     private final HeldBytes.Account eventBytes;
-    private final Set<String> triedTargets = new HashSet<>();
+    private final ExchangeLog log;
+    private final SilenceTimer silenceTimer;
+    private final TargetWait targetWait;
+    private final TargetChoice targets;
     private ByteBuf body;
     private boolean bodyAnnounced;
     private String service;
@@ -102,16 +65,7 @@
     private RetryPolicy.History history = RetryPolicy.History.NONE;
     private Attempt attempt;
     private Scheduler.Cancellable deadlineTimer = () -> {};
-    private Scheduler.Cancellable silenceTimer = () -> {};
-
-    /** Whether the current silence has been extended because the target serves other streams. */
-    private boolean pauseAllowed;
-
     private boolean retryReserved;
-
-    /** Since when no target accepts the stream, or null; counted from its last events. */
-    private Instant withoutTargetSince;
-
     private Duration timeToFirstByte;
     private boolean ended;
 
@@ -128,6 +82,16 @@
         this.bodyBytes = dependencies.heldBytes().open(requestId, this::refuseForMemory);
         this.eventBytes = dependencies.heldBytes().open(requestId, this::onEventRefused);
         this.relay = new ResponseRelay(dependencies.dialect(), caller, eventBytes);
+        this.log = new ExchangeLog(dependencies.log(), request, dependencies.clock());
+        this.silenceTimer =
+                new SilenceTimer(
+                        request,
+                        relay,
+                        this::hasTargetSentBytesWithin,
+                        this::onTargetSilent,
+                        dependencies.scheduler());
+        this.targets = new TargetChoice(dependencies, request, relay, this::keys);
+        this.targetWait = new TargetWait(dependencies.scheduler(), dependencies.clock());
     }
 
     /**
@@ -153,23 +117,11 @@
         ended = true;
         deadlineTimer.cancel();
         releaseBody();
-        dependencies
-                .log()
-                .write(
-                        DecisionKind.REQUEST_REFUSED,
-                        request.head().requestId(),
-                        () -> error.reason() + describeConfiguration(),
-                        error.status() + " " + error.code());
+        log.refused(error);
         dependencies.metrics().countEndedRequest("refused");
         ErrorResponseSender.send(caller, error);
     }
 
-    private String describeConfiguration() {
-        return request.configuration() == null
-                ? ""
-                : " configuration=" + request.configuration().version();
-    }
-
     /**
      * Counts the bytes of the body that have been received; refuses the request and returns false
      * if there is no memory for them.
@@ -186,14 +138,7 @@
         if (ended) {
             return;
         }
-        Duration delay =
-                Jitter.delay(MEMORY_RETRY_DELAY, MEMORY_RETRY_JITTER, dependencies.random());
-        refuse(
-                new ErrorResponse(
-                        UNAVAILABLE,
-                        ErrorCode.LIMIT_EXCEEDED,
-                        "no memory is left for a body of this size",
-                        Optional.of(delay)));
+        refuse(ErrorResponse.outOfMemory(dependencies.random()));
     }
 
     private void onEventRefused() {
@@ -232,7 +177,7 @@
     }
 
     private void sendToTarget() {
-        Optional<TargetSelector.Selection> chosen = selectTarget();
+        Optional<TargetSelector.Selection> chosen = targets.choose(service, timeLeft());
         if (chosen.isEmpty()) {
             if (!awaitTarget()) {
                 fail("no target accepts the request", ErrorCode.NO_TARGET);
@@ -258,15 +203,9 @@
         }
         attempt = new Attempt(dependencies, selection, this);
         dependencies.metrics().countAttempt();
-        dependencies
-                .log()
-                .write(
-                        DecisionKind.REQUEST_DISPATCHED,
-                        request.head().requestId(),
-                        () -> describeSelection(selection),
-                        selection.target().id());
+        log.dispatched(selection, timeLeft());
         attempt.start(targetRequest(selection.forwarding()), body.retainedDuplicate());
-        restartSilenceTimer();
+        silenceTimer.restart();
     }
 
     /**
@@ -274,28 +213,21 @@
      * target may go on with. Returns false if none was found for too long.
      */
     private boolean awaitTarget() {
-        Instant now = dependencies.clock().instant();
-        if (withoutTargetSince == null) {
-            withoutTargetSince = now;
-        }
-        boolean waiting =
+        boolean resumable =
                 relay.isStarted()
                         && relay.isResumable()
-                        && now.isBefore(withoutTargetSince.plus(MAXIMUM_WAIT_FOR_TARGET))
                         && !dependencies.crashingContents().isRefused(this::keys);
-        if (waiting) {
-            triedTargets.clear();
-            dependencies
-                    .scheduler()
-                    .schedule(
-                            TARGET_CHECK_INTERVAL,
-                            () -> {
-                                if (!ended) {
-                                    sendToTarget();
-                                }
-                            });
+        if (!resumable || !targetWait.schedule(this::sendUnlessEnded)) {
+            return false;
+        }
+        targets.forgetTried();
+        return true;
+    }
+
+    private void sendUnlessEnded() {
+        if (!ended) {
+            sendToTarget();
         }
-        return waiting;
     }
 
     /**
@@ -303,18 +235,7 @@
      * deadline, before a daemon that is stopping ends whatever is in progress.
      */
     boolean canEndBeforeStop(String target) {
-        Optional<Instant> stopsAt = dependencies.stopsAt().get();
-        if (stopsAt.isEmpty()) {
-            return true;
-        }
-        Duration left = timeLeft();
-        Duration expected =
-                dependencies
-                        .answerTimes()
-                        .longest(request.route().name(), target)
-                        .filter(longest -> longest.compareTo(left) < 0)
-                        .orElse(left);
-        return !dependencies.clock().instant().plus(expected).isAfter(stopsAt.get());
+        return dependencies.stopDeadline().canEnd(request.route().name(), target, timeLeft());
     }
 
     /** Refuses the request, whose body is not complete, if it could not end before the stop. */
@@ -324,33 +245,6 @@
         }
     }
 
-    private Optional<TargetSelector.Selection> selectTarget() {
-        CrashingContentGuard.Separation separation =
-                dependencies.crashingContents().separation(this::keys);
-        if (separation.none()) {
-            return Optional.empty();
-        }
-        Set<String> excluded = new HashSet<>(triedTargets);
-        excluded.addAll(separation.targets());
-        Optional<TargetSelector.Selection> separate = selectTarget(excluded);
-        return separate.isPresent() || separation.required() || separation.targets().isEmpty()
-                ? separate
-                : selectTarget(triedTargets);
-    }
-
-    private Optional<TargetSelector.Selection> selectTargetBesides(String target) {
-        Set<String> excluded = new HashSet<>(triedTargets);
-        excluded.add(target);
-        return selectTarget(excluded);
-    }
-
-    private Optional<TargetSelector.Selection> selectTarget(Set<String> excluded) {
-        Optional<String> lastEventId = relay.lastEventId().or(request.head()::lastEventId);
-        return dependencies
-                .targetSelector()
-                .selectTarget(request, service, excluded, timeLeft(), lastEventId);
-    }
-
     /**
      * Returns the time after which the caller may retry if the engine's queue is too long. Only
      * first attempts are refused; retries are sent whatever the load.
@@ -366,32 +260,6 @@
                 : Optional.empty();
     }
 
-    private String describeSelection(TargetSelector.Selection selection) {
-        Instant now = dependencies.clock().instant();
-        return "route="
-                + request.route().name()
-                + " configuration="
-                + request.configuration().version()
-                + " weights="
-                + selection.state().weightVersion().orElse(0)
-                + selection
-                        .outdatedSince()
-                        .map(since -> " outdated-for=" + Duration.between(since, now).toMillis())
-                        .orElse("")
-                + " requests="
-                + selection.state().load().totalRequests(now)
-                + " prefill="
-                + selection.prefillTokens()
-                + " queueing="
-                + selection.queueingDelay().toMillis()
-                + " priority="
-                + selection.forwarding().priority()
-                + selection.forwarding().fetchFrom().map(from -> " fetch=" + from).orElse("")
-                + selection.forwarding().saveTo().map(to -> " save=" + to).orElse("")
-                + " left="
-                + timeLeft().toMillis();
-    }
-
     private HttpRequest targetRequest(ForwardingMetadata forwarding) {
         HttpRequest head =
                 new DefaultHttpRequest(
@@ -406,54 +274,24 @@
         return head;
     }
 
-    /** Restarts the timer for a silent target, if the request may be retried at another one. */
-    void restartSilenceTimer() {
-        silenceTimer.cancel();
-        if (!request.route().kind().isRetryable()) {
-            return;
-        }
-        pauseAllowed = false;
-        silenceTimer = dependencies.scheduler().schedule(maximumSilence(), this::onSilenceTimeout);
-    }
-
-    private Duration maximumSilence() {
-        Duration eventGap = request.route().longestEventGap();
-        return relay.hasRelayedEvents() && !eventGap.isZero()
-                ? eventGap.multipliedBy(MAXIMUM_SILENCE_IN_EVENT_GAPS)
-                : request.route().latencyObjective().multipliedBy(MAXIMUM_SILENCE_IN_OBJECTIVES);
-    }
-
     /** Notes that the caller was sent further events of a stream. */
     void onEventsRelayed() {
-        withoutTargetSince = null;
-        restartSilenceTimer();
+        targetWait.end();
+        silenceTimer.restart();
     }
 
     void stopSilenceTimer() {
-        silenceTimer.cancel();
+        silenceTimer.stop();
     }
 
-    private void onSilenceTimeout() {
+    private boolean hasTargetSentBytesWithin(Duration period) {
+        return attempt != null && attempt.hasTargetSentBytesWithin(period);
+    }
+
+    private void onTargetSilent() {
         if (ended || attempt == null) {
             return;
         }
-        boolean targetAlive =
-                request.route().kind().isStream()
-                        && attempt.hasTargetSentBytesWithin(request.route().latencyObjective());
-        if (targetAlive && !relay.hasRelayedEvents()) {
-            restartSilenceTimer();
-            return;
-        }
-        if (targetAlive && !pauseAllowed) {
-            pauseAllowed = true;
-            Duration rest =
-                    request.route()
-                            .longestEventGap()
-                            .multipliedBy(
-                                    MAXIMUM_PAUSE_IN_EVENT_GAPS - MAXIMUM_SILENCE_IN_EVENT_GAPS);
-            silenceTimer = dependencies.scheduler().schedule(rest, this::onSilenceTimeout);
-            return;
-        }
         if (tryRetry(AttemptFailure.NO_ANSWER)) {
             Attempt silent = attempt;
             silent.abandon();
@@ -472,8 +310,8 @@
                 !ended
                         && attempt == migrating
                         && request.route().kind() == RequestKind.RESUMABLE_STREAM
-                        && dependencies.stopsAt().get().isEmpty()
-                        && selectTargetBesides(migrating.targetId()).isPresent();
+                        && !dependencies.stopDeadline().isStopping()
+                        && targets.hasOther(service, migrating.targetId(), timeLeft());
         if (migratable && tryRetry(AttemptFailure.MOVED_AWAY)) {
             migrating.abandon();
             resend(migrating, AttemptFailure.MOVED_AWAY);
@@ -498,7 +336,7 @@
 
     private void resend(Attempt failed, AttemptFailure failure) {
         history = history.after(failure);
-        triedTargets.add(failed.targetId());
+        targets.addTried(failed.targetId());
         attempt = null;
         relay.discardIncompleteEvent();
         sendToTarget();
@@ -556,7 +394,7 @@
         if (ended) {
             return;
         }
-        silenceTimer.cancel();
+        silenceTimer.stop();
         dependencies
                 .crashingContents()
                 .onConnectionBroken(
@@ -577,7 +415,7 @@
         if (ended) {
             return;
         }
-        silenceTimer.cancel();
+        silenceTimer.stop();
         boolean reserved = retryReserved;
         retryReserved = false;
         if (reserved || tryRetry(failure)) {
@@ -681,44 +519,27 @@
             Attempt answered,
             Instant sentAt,
             boolean successful) {
-        silenceTimer.cancel();
-        Scheduler.Cancellable limit =
-                dependencies
-                        .scheduler()
-                        .schedule(
-                                request.route()
-                                        .latencyObjective()
-                                        .dividedBy(OBJECTIVE_PARTS_FOR_CONFIRMATION),
-                                () -> completeUnlessEnded(answered));
-        dependencies
-                .crashingContents()
-                .onAnswerEndedByClose(
-                        selection,
-                        runSince(sentAt),
-                        successful,
-                        finding -> {
-                            limit.cancel();
-                            if (finding.isEnded()) {
-                                onTargetEndedWithAnswer(answered);
-                            } else {
-                                completeUnlessEnded(answered);
-                            }
-                        });
+        silenceTimer.stop();
+        AnswerEndConfirmation.await(
+                dependencies,
+                selection,
+                runSince(sentAt),
+                new AnswerEndConfirmation.Answer(successful, request.route().latencyObjective()),
+                whole -> onEndChecked(answered, whole));
     }
 
-    private void onTargetEndedWithAnswer(Attempt answered) {
-        if (!ended && attempt == answered) {
-            String detail = "the target ended with its answer";
-            answered.recordFailure(AttemptFailure.BROKEN_STREAM, detail);
-            onAttemptFailed(answered, AttemptFailure.BROKEN_STREAM, detail);
+    private void onEndChecked(Attempt answered, boolean whole) {
+        if (ended || attempt != answered) {
+            return;
         }
-    }
-
-    private void completeUnlessEnded(Attempt answered) {
-        if (!ended && attempt == answered) {
+        if (whole) {
             answered.finishAnswer();
             endAnswered();
+            return;
         }
+        String detail = "the target ended with its answer";
+        answered.recordFailure(AttemptFailure.BROKEN_STREAM, detail);
+        onAttemptFailed(answered, AttemptFailure.BROKEN_STREAM, detail);
     }
 
     private void endAnswered() {
@@ -732,30 +553,11 @@
     private void end(String outcome, String detail) {
         ended = true;
         deadlineTimer.cancel();
-        silenceTimer.cancel();
+        silenceTimer.stop();
         attempt = null;
         releaseBody();
         dependencies.metrics().countEndedRequest(outcome);
-        dependencies
-                .log()
-                .write(
-                        DecisionKind.REQUEST_ENDED,
-                        request.head().requestId(),
-                        () ->
-                                detail
-                                        + " runs="
-                                        + history.attemptsPossiblyRun()
-                                        + " unrun="
-                                        + history.attemptsNotRun()
-                                        + (timeToFirstByte == null
-                                                ? ""
-                                                : " first-byte=" + timeToFirstByte.toMillis())
-                                        + " after="
-                                        + Duration.between(
-                                                        request.arrivedAt(),
-                                                        dependencies.clock().instant())
-                                                .toMillis(),
-                        outcome);
+        log.ended(outcome, detail, history, timeToFirstByte);
     }
 
     /** Stops the target's work when the caller has disconnected. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeDependencies.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeDependencies.java
@@ -1,11 +1,8 @@
 package org.bergamothoist.gateway.caller;
 
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.DoubleSupplier;
-import java.util.function.Supplier;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.relay.AdmissionPolicy;
 import org.bergamothoist.core.relay.RetryPolicy;
@@ -17,7 +14,6 @@
 /**
  * Components of the daemon that all exchanges share.
  *
- * @param stopsAt when the daemon ends whatever is in progress, if it is stopping
  * @param random supplies uniformly distributed numbers from 0 to 1
  */
 public record ExchangeDependencies(
@@ -31,8 +27,7 @@
         ActiveAttempts activeAttempts,
         RelayMetrics metrics,
         HeldBytes heldBytes,
-        AnswerTimes answerTimes,
-        Supplier<Optional<Instant>> stopsAt,
+        StopDeadline stopDeadline,
         Scheduler scheduler,
         InstantSource clock,
         DoubleSupplier random,
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeLog.java
@@ -0,0 +1,94 @@
+package org.bergamothoist.gateway.caller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+import org.bergamothoist.core.relay.RetryPolicy;
+
+/** Writes the decisions on one request to the log. */
+final class ExchangeLog {
+
+    private final DecisionLog log;
+    private final RequestContext request;
+    private final InstantSource clock;
+
+    ExchangeLog(DecisionLog log, RequestContext request, InstantSource clock) {
+        this.log = log;
+        this.request = request;
+        this.clock = clock;
+    }
+
+    void refused(ErrorResponse error) {
+        log.write(
+                DecisionKind.REQUEST_REFUSED,
+                request.head().requestId(),
+                () -> error.reason() + describeConfiguration(),
+                error.status() + " " + error.code());
+    }
+
+    private String describeConfiguration() {
+        return request.configuration() == null
+                ? ""
+                : " configuration=" + request.configuration().version();
+    }
+
+    void dispatched(TargetSelector.Selection selection, Duration timeLeft) {
+        log.write(
+                DecisionKind.REQUEST_DISPATCHED,
+                request.head().requestId(),
+                () -> describe(selection, timeLeft),
+                selection.target().id());
+    }
+
+    private String describe(TargetSelector.Selection selection, Duration timeLeft) {
+        Instant now = clock.instant();
+        return "route="
+                + request.route().name()
+                + " configuration="
+                + request.configuration().version()
+                + " weights="
+                + selection.state().weightVersion().orElse(0)
+                + selection
+                        .outdatedSince()
+                        .map(since -> " outdated-for=" + Duration.between(since, now).toMillis())
+                        .orElse("")
+                + " requests="
+                + selection.state().load().totalRequests(now)
+                + " prefill="
+                + selection.prefillTokens()
+                + " queueing="
+                + selection.queueingDelay().toMillis()
+                + " priority="
+                + selection.forwarding().priority()
+                + selection.forwarding().fetchFrom().map(from -> " fetch=" + from).orElse("")
+                + selection.forwarding().saveTo().map(to -> " save=" + to).orElse("")
+                + " left="
+                + timeLeft.toMillis();
+    }
+
+    /**
+     * Writes the end of the request.
+     *
+     * @param timeToFirstByte null if no response has begun
+     */
+    void ended(
+            String outcome, String detail, RetryPolicy.History history, Duration timeToFirstByte) {
+        log.write(
+                DecisionKind.REQUEST_ENDED,
+                request.head().requestId(),
+                () ->
+                        detail
+                                + " runs="
+                                + history.attemptsPossiblyRun()
+                                + " unrun="
+                                + history.attemptsNotRun()
+                                + (timeToFirstByte == null
+                                        ? ""
+                                        : " first-byte=" + timeToFirstByte.toMillis())
+                                + " after="
+                                + Duration.between(request.arrivedAt(), clock.instant()).toMillis(),
+                outcome);
+    }
+}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
@@ -15,6 +15,7 @@
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.GossipQuarantine;
 import org.bergamothoist.core.quarantine.LostRun;
+import org.bergamothoist.core.quarantine.PartProbes;
 import org.bergamothoist.core.quarantine.SuspectContents;
 import org.bergamothoist.core.quarantine.TargetLoss;
 import org.bergamothoist.core.quarantine.TargetLossDetector;
@@ -36,12 +37,14 @@
     private final Runnable onChange;
     private final GossipQuarantine quarantine;
     private final TargetLossDetector losses;
+    private final PartProbes probes;
     private final QuarantineRecords records;
 
     /**
      * Creates a quarantine without contents.
      *
      * @param cleaning whether this daemon deletes records whose refusal has ended
+     * @param probing whether this daemon sends single requests that may clear refused parts
      * @param onChange called when other daemons should learn of a change soon
      */
     public ContentQuarantine(
@@ -49,6 +52,7 @@
             ConnectionPool targetConnections,
             PlatformAdapter.Store store,
             BooleanSupplier cleaning,
+            BooleanSupplier probing,
             Runnable onChange,
             Scheduler scheduler,
             InstantSource clock,
@@ -66,6 +70,7 @@
                         scheduler,
                         clock,
                         log);
+        this.probes = new PartProbes(quarantine, probing, clock, log);
         this.records = new QuarantineRecords(store, quarantine, cleaning, scheduler, clock, log);
         metrics.gauge("quarantined-contents", () -> quarantine::quarantinedCount);
     }
@@ -78,6 +83,10 @@
         return losses;
     }
 
+    public PartProbes probes() {
+        return probes;
+    }
+
     public QuarantineRecords records() {
         return records;
     }
