--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -34,6 +34,12 @@
     REQUEST_DISPATCHED,
     /** An attempt at a target failed. */
     ATTEMPT_FAILED,
+    /** A peer's connection was closed because of bytes that answer no request. */
+    BYTES_BEHIND_ANSWER,
+    /** A target answered another request than the one in progress. */
+    ANSWER_TO_OTHER_REQUEST,
+    /** The head of an answer contained the start of another one. */
+    ANSWER_HEADS_JOINED,
     /** It was found out whether a target whose connection broke still runs. */
     TARGET_LOSS_CHECKED,
     /** A loss of a target was counted for a content that it ran. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -313,7 +313,8 @@
                 eventLoop,
                 clock,
                 new ConnectionPool.Settings(connectTimeout, IDLE_TIME, IDLE_MARGIN),
-                metrics);
+                metrics,
+                log);
     }
 
     private ExchangeDependencies exchangeDependencies(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -13,6 +13,7 @@
 import org.bergamothoist.core.relay.AttemptFailure;
 import org.bergamothoist.gateway.client.AnswerListener;
 import org.bergamothoist.gateway.client.ClientConnection;
+import org.bergamothoist.gateway.client.Destination;
 import org.bergamothoist.gateway.wire.ResponseHead;
 
 /** One attempt to run a request on one target. Confined to the event loop. */
@@ -65,6 +66,10 @@
         return selection.state();
     }
 
+    private Optional<String> requestId() {
+        return Optional.of(exchange.request().head().requestId());
+    }
+
     void start(HttpRequest head, ByteBuf body) {
         targetState().load().addRequest(selection.prefillTokens());
         suspects = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
@@ -72,8 +77,7 @@
         dependencies
                 .targetConnections()
                 .acquire(
-                        selection.target().address(),
-                        Optional.of(exchange.request().head().requestId()),
+                        new Destination(selection.target().address(), targetId(), requestId()),
                         (opened, failure) -> onConnected(opened, failure, head, body));
     }
 
@@ -100,7 +104,7 @@
         }
         connection = opened;
         sentAt = dependencies.clock().instant();
-        opened.send(head, body, this);
+        opened.send(head, body, requestId(), this);
     }
 
     /**
@@ -162,17 +166,7 @@
         ResponseHead response = dependencies.dialect().readResponse(head);
         String expected = exchange.request().head().requestId();
         if (response.requestId().isPresent() && !response.requestId().get().equals(expected)) {
-            dependencies
-                    .log()
-                    .write(
-                            DecisionKind.ATTEMPT_FAILED,
-                            expected,
-                            () ->
-                                    "target "
-                                            + targetId()
-                                            + " responded to request "
-                                            + response.requestId().get(),
-                            "response to another request ignored");
+            connection.onOtherRequestAnswered(response.requestId().get(), response.status());
             return false;
         }
         response.weightVersion().ifPresent(targetState()::observeWeightVersion);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerDecoder.java
@@ -30,7 +30,7 @@
         boolean isAnswerExpected();
 
         /** Handles bytes that come while no answer is expected. */
-        void onUnexpectedBytes();
+        void onUnexpectedBytes(int count);
 
         /** Handles a head that has a folded line. */
         void onFoldedLine();
@@ -74,8 +74,9 @@
             super.decode(context, bytes, messages);
             return;
         }
-        bytes.skipBytes(bytes.readableBytes());
-        connection.onUnexpectedBytes();
+        int count = bytes.readableBytes();
+        bytes.skipBytes(count);
+        connection.onUnexpectedBytes(count);
     }
 
     @Override
--- /dev/null
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
@@ -0,0 +1,108 @@
+package org.bergamothoist.gateway.client;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
+
+/**
+ * Logs and counts what peers send that is not the answer to the request in progress. Confined to
+ * the event loop.
+ */
+final class AnswerMismatches {
+
+    /** Number of addresses whose counters are kept; those that are counted first are given up. */
+    private static final int MAXIMUM_ADDRESSES = 256;
+
+    /** A way in which bytes of a peer do not match a request. */
+    enum Kind {
+        /** Bytes came while no answer was expected. */
+        BYTES_BEHIND_ANSWER(DecisionKind.BYTES_BEHIND_ANSWER, "connection closed"),
+        /** A whole answer names another request. */
+        OTHER_REQUEST(DecisionKind.ANSWER_TO_OTHER_REQUEST, "answer ignored"),
+        /** A head contains the start of another one. */
+        JOINED_HEADS(DecisionKind.ANSWER_HEADS_JOINED, "answer rejected");
+
+        private final DecisionKind event;
+        private final String outcome;
+
+        Kind(DecisionKind event, String outcome) {
+            this.event = event;
+            this.outcome = outcome;
+        }
+
+        private String metric(String peer) {
+            return "answer-mismatches." + peer + "." + name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /**
+     * A connection on which a mismatch was found.
+     *
+     * @param address IP address and port of the peer
+     * @param peer name of the peer, such as the identifier of a target
+     * @param number number of the connection in its pool
+     * @param requests number of requests that it has carried
+     * @param lastRequest identifier of the last one, or an empty string
+     */
+    record Origin(String address, String peer, long number, int requests, String lastRequest) {}
+
+    private final MetricRegistry metrics;
+    private final DecisionLog log;
+    private final Map<String, String> peersByAddress = new LinkedHashMap<>();
+
+    AnswerMismatches(MetricRegistry metrics, DecisionLog log) {
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    /** Records a mismatch. */
+    void record(Kind kind, Origin origin, Supplier<String> details) {
+        track(origin);
+        String metric = kind.metric(origin.peer());
+        metrics.counter(metric).inc();
+        log.write(
+                kind.event,
+                origin.lastRequest(),
+                () ->
+                        details.get()
+                                + " target="
+                                + origin.peer()
+                                + " address="
+                                + origin.address()
+                                + " connection="
+                                + origin.number()
+                                + " requests="
+                                + origin.requests()
+                                + " count="
+                                + metrics.counter(metric).getCount(),
+                kind.outcome);
+    }
+
+    private void track(Origin origin) {
+        String before = peersByAddress.put(origin.address(), origin.peer());
+        if (before != null && !before.equals(origin.peer())) {
+            removeCounters(before);
+        }
+        if (peersByAddress.size() > MAXIMUM_ADDRESSES) {
+            forget(peersByAddress.keySet().iterator().next());
+        }
+    }
+
+    /** Gives up the counters of an address whose owner is gone. */
+    void forget(String address) {
+        String peer = peersByAddress.remove(address);
+        if (peer != null) {
+            removeCounters(peer);
+        }
+    }
+
+    private void removeCounters(String peer) {
+        for (Kind kind : Kind.values()) {
+            metrics.remove(kind.metric(peer));
+        }
+    }
+}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.bergamothoist.gateway.wire.BodyFraming;
@@ -51,7 +52,8 @@
         CLOSED
     }
 
-    private final String address;
+    private final Destination destination;
+    private final long number;
     private final InstantSource clock;
     private final ConnectionPool pool;
     private final AnswerDecoder decoder;
@@ -64,7 +66,8 @@
     private int interimAnswers;
     private long ignoredBytes;
     private boolean reusable = true;
-    private boolean usedBefore;
+    private int requests;
+    private String lastRequest = "";
     private boolean broken;
 
     /** Whether the peer has ended its bytes in order; not so after a reset or an own close. */
@@ -77,8 +80,16 @@
     /** Requests that the target has refused on this connection. */
     private final Set<String> refusedRequests = new HashSet<>();
 
-    ClientConnection(String address, ConnectionPool pool, InstantSource clock) {
-        this.address = address;
+    /**
+     * Creates a connection that is not open yet.
+     *
+     * @param destination where the first request goes; later ones go to the same peer
+     * @param number number of the connection in its pool, for the log
+     */
+    ClientConnection(
+            Destination destination, long number, ConnectionPool pool, InstantSource clock) {
+        this.destination = destination;
+        this.number = number;
         this.pool = pool;
         this.decoder = new AnswerDecoder(this);
         this.clock = clock;
@@ -89,7 +100,11 @@
     }
 
     String address() {
-        return address;
+        return destination.address();
+    }
+
+    String peer() {
+        return destination.peer();
     }
 
     boolean isUsable() {
@@ -100,9 +115,16 @@
         channel = connected;
     }
 
-    /** Sends a request; the body is released. */
-    public void send(HttpRequest head, ByteBuf body, AnswerListener receiver) {
+    /**
+     * Sends a request; the body is released.
+     *
+     * @param requestId identifier of the request, or empty if it has none
+     */
+    public void send(
+            HttpRequest head, ByteBuf body, Optional<String> requestId, AnswerListener receiver) {
         listener = receiver;
+        requests++;
+        lastRequest = requestId.orElse("");
         state = State.BUSY;
         interimAnswers = 0;
         ignoredBytes = 0;
@@ -117,7 +139,7 @@
      */
     public void onRefused(Optional<String> requestId) {
         if (requestId.isEmpty()) {
-            pool.keepNoConnections(address);
+            pool.keepNoConnections(address());
         }
         if (requestId.isEmpty() || refusedRequests.size() >= MAXIMUM_REFUSED_REQUESTS) {
             reusable = false;
@@ -142,7 +164,7 @@
      * @param requestId identifier of the request that the answer names
      */
     public boolean isCertainlyAnswered(Optional<String> requestId) {
-        return requestId.isPresent() || !usedBefore;
+        return requestId.isPresent() || requests == 1;
     }
 
     /** Ends the request in progress without waiting for its answer. */
@@ -189,16 +211,39 @@
     }
 
     @Override
-    public void onUnexpectedBytes() {
-        reusable = false;
+    public void onUnexpectedBytes(int count) {
+        if (state == State.CLOSED) {
+            return;
+        }
+        State before = state;
+        recordMismatch(
+                AnswerMismatches.Kind.BYTES_BEHIND_ANSWER,
+                () -> "bytes=" + count + " state=" + before);
         close();
     }
 
+    /** Records that a whole answer names another request than the one in progress. */
+    public void onOtherRequestAnswered(String answeredRequest, int status) {
+        recordMismatch(
+                AnswerMismatches.Kind.OTHER_REQUEST,
+                () -> "answered=" + answeredRequest + " status=" + status);
+    }
+
+    private void recordMismatch(AnswerMismatches.Kind kind, Supplier<String> details) {
+        pool.mismatches()
+                .record(
+                        kind,
+                        new AnswerMismatches.Origin(
+                                address(), peer(), number, requests, lastRequest),
+                        details);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (state != State.BUSY) {
-                onUnexpectedBytes();
+                // The decoder has passed on what it had decoded when the answer ended early.
+                close();
                 return;
             }
             if (message instanceof HttpResponse head) {
@@ -218,6 +263,8 @@
             return;
         }
         if (JoinedHeads.isJoined(head)) {
+            recordMismatch(
+                    AnswerMismatches.Kind.JOINED_HEADS, () -> "status=" + head.status().code());
             fail(AnswerListener.Failure.INVALID_ANSWER, "a second status line in the head");
             return;
         }
@@ -304,7 +351,6 @@
             return;
         }
         state = State.IDLE;
-        usedBefore = true;
         channel.config().setAutoRead(true);
         pool.release(this);
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -18,10 +18,10 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.bergamothoist.core.decision.DecisionLog;
 
 /** Opens connections and keeps idle ones by address. Confined to the event loop. */
 public final class ConnectionPool {
@@ -30,6 +30,8 @@
     private final InstantSource clock;
     private final Settings settings;
     private final Counter opened;
+    private final AnswerMismatches mismatches;
+    private long lastNumber;
     private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
     private final Set<String> notKept = new HashSet<>();
 
@@ -52,11 +54,13 @@
             EventLoop eventLoop,
             InstantSource clock,
             Settings settings,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            DecisionLog log) {
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.settings = settings;
         this.opened = metrics.counter("connections-opened." + name);
+        this.mismatches = new AnswerMismatches(metrics, log);
     }
 
     InstantSource clock() {
@@ -71,36 +75,25 @@
         return settings.idleMargin();
     }
 
-    /**
-     * Passes a connection on, or a failure to open one.
-     *
-     * @param address IP address and port
-     */
-    public void acquire(String address, BiConsumer<ClientConnection, Throwable> receiver) {
-        acquire(address, Optional.empty(), receiver);
+    AnswerMismatches mismatches() {
+        return mismatches;
     }
 
     /**
-     * Passes a connection on, or a failure to open one.
-     *
-     * @param address IP address and port
-     * @param requestId identifier of the request; it is not sent on a connection on which a request
-     *     with the same one was refused
+     * Passes a connection on, or a failure to open one. A request is not sent on a connection on
+     * which one with the same identifier was refused.
      */
-    public void acquire(
-            String address,
-            Optional<String> requestId,
-            BiConsumer<ClientConnection, Throwable> receiver) {
-        Deque<ClientConnection> kept = idle.get(address);
+    public void acquire(Destination destination, BiConsumer<ClientConnection, Throwable> receiver) {
+        Deque<ClientConnection> kept = idle.get(destination.address());
         while (kept != null && !kept.isEmpty()) {
             ClientConnection connection = kept.pollFirst();
-            if (connection.isUsableFor(requestId)) {
+            if (connection.isUsableFor(destination.requestId())) {
                 receiver.accept(connection, null);
                 return;
             }
             connection.close();
         }
-        open(address, receiver);
+        open(destination, receiver);
     }
 
     /**
@@ -109,7 +102,7 @@
      */
     public void probe(String address, Consumer<Throwable> receiver) {
         open(
-                address,
+                Destination.of(address),
                 (connection, failure) -> {
                     if (connection != null) {
                         connection.close();
@@ -118,7 +111,8 @@
                 });
     }
 
-    private void open(String address, BiConsumer<ClientConnection, Throwable> receiver) {
+    private void open(Destination destination, BiConsumer<ClientConnection, Throwable> receiver) {
+        String address = destination.address();
         InetSocketAddress socketAddress;
         try {
             socketAddress = socketAddress(address);
@@ -127,7 +121,8 @@
             return;
         }
         opened.inc();
-        ClientConnection connection = new ClientConnection(address, this, clock);
+        lastNumber++;
+        ClientConnection connection = new ClientConnection(destination, lastNumber, this, clock);
         new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
@@ -187,13 +182,18 @@
      * such a refusal certainly is that of the request in progress.
      */
     void keepNoConnections(String address) {
-        closeIdle(address);
+        closeKept(address);
         notKept.add(address);
     }
 
     /** Closes the idle connections to an address whose owner is gone. */
     public void closeIdle(String address) {
         notKept.remove(address);
+        mismatches.forget(address);
+        closeKept(address);
+    }
+
+    private void closeKept(String address) {
         Deque<ClientConnection> kept = idle.remove(address);
         if (kept != null) {
             kept.forEach(ClientConnection::close);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -76,7 +77,7 @@
      */
     public CompletionStage<HttpAnswer> call(Call call, Duration sendWithin) {
         Pending pending = new Pending(call, sendWithin);
-        pool.acquire(call.address(), pending::connected);
+        pool.acquire(Destination.of(call.address()), pending::connected);
         return pending.answer;
     }
 
@@ -144,7 +145,7 @@
             if (!bodyless) {
                 head.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             }
-            opened.send(head, Unpooled.wrappedBuffer(call.body()), this);
+            opened.send(head, Unpooled.wrappedBuffer(call.body()), Optional.empty(), this);
         }
 
         @Override
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -46,7 +46,8 @@
                         eventLoop,
                         () -> InstantSource.system().instant().plus(suspendedFor),
                         new ConnectionPool.Settings(TIMEOUT, TIMEOUT, Duration.ZERO),
-                        new MetricRegistry());
+                        new MetricRegistry(),
+                        (kind, subject, inputs, outcome) -> {});
         HeldBytes heldBytes =
                 new HeldBytes(
                         1 << 20, new MetricRegistry(), (kind, subject, inputs, outcome) -> {});
