Send an identifier once on a connection, and believe no answer without one there

Cause: an answer was recognised by its identifier, though the same identifier may be sent twice on a connection: by a resumed stream, or by a caller's repeat. Only refused identifiers were kept off. Answers without an identifier were believed on used connections as well, refusals excepted, so that a copy without one was the answer to the next request: a failure became a success. Class: an identifier is believed where it is ambiguous.

Change: a connection remembers the identifiers that it has carried, and is given up if one of them is to be sent again, whatever the reason; refused requests are no special case any more. It is given up as well after 512 identifiers, which bounds its memory. An answer without an identifier is believed only if it is the first on its connection; its target then gets no kept connections.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -38,6 +38,8 @@
     BYTES_BEHIND_ANSWER,
     /** A target answered another request than the one in progress. */
     ANSWER_TO_OTHER_REQUEST,
+    /** An answer that names no request was rejected, since it may be that to an earlier one. */
+    ANSWER_WITHOUT_IDENTIFIER,
     /** The head of an answer contained the start of another one. */
     ANSWER_HEADS_JOINED,
     /** It was found out whether a target whose connection broke still runs. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -6,12 +6,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.fleet.TargetState;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.relay.AttemptFailure;
 import org.bergamothoist.gateway.client.AnswerListener;
+import org.bergamothoist.gateway.client.AnswerMatch;
 import org.bergamothoist.gateway.client.ClientConnection;
 import org.bergamothoist.gateway.client.Destination;
 import org.bergamothoist.gateway.wire.ResponseHead;
@@ -66,8 +66,8 @@
         return selection.state();
     }
 
-    private Optional<String> requestId() {
-        return Optional.of(exchange.request().head().requestId());
+    private AnswerMatch answerMatch() {
+        return AnswerMatch.byIdentifier(exchange.request().head().requestId());
     }
 
     void start(HttpRequest head, ByteBuf body) {
@@ -77,7 +77,7 @@
         dependencies
                 .targetConnections()
                 .acquire(
-                        new Destination(selection.target().address(), targetId(), requestId()),
+                        new Destination(selection.target().address(), targetId(), answerMatch()),
                         (opened, failure) -> onConnected(opened, failure, head, body));
     }
 
@@ -104,7 +104,7 @@
         }
         connection = opened;
         sentAt = dependencies.clock().instant();
-        opened.send(head, body, requestId(), this);
+        opened.send(head, body, answerMatch(), this);
     }
 
     /**
@@ -169,6 +169,13 @@
             connection.onOtherRequestAnswered(response.requestId().get(), response.status());
             return false;
         }
+        boolean certain =
+                response.requestId().isPresent()
+                        || connection.acceptUnidentifiedAnswer(response.status());
+        if (!certain) {
+            reject(AttemptFailure.INVALID_ANSWER, response);
+            return true;
+        }
         response.weightVersion().ifPresent(targetState()::observeWeightVersion);
         checkResponse(response);
         if (rejection == null
@@ -186,9 +193,7 @@
     private void checkResponse(ResponseHead response) {
         int status = response.status();
         if (response.notRun() || status == MISDIRECTED) {
-            boolean certain = connection.isCertainlyAnswered(response.requestId());
-            rejectResponse(
-                    certain ? AttemptFailure.REFUSED : AttemptFailure.INVALID_ANSWER, response);
+            rejectResponse(AttemptFailure.REFUSED, response);
         } else if (response.isSuccess() && (!response.signed() || response.contentEncoded())) {
             rejectResponse(AttemptFailure.INVALID_ANSWER, response);
         } else if (status == UNAVAILABLE
@@ -205,10 +210,14 @@
     }
 
     private void rejectResponse(AttemptFailure attemptFailure, ResponseHead response) {
-        rejection = attemptFailure;
-        if (response.notRun() || attemptFailure == AttemptFailure.REFUSED) {
-            connection.onRefused(response.requestId());
+        reject(attemptFailure, response);
+        if (response.status() == MISDIRECTED) {
+            handleMisdirected(response);
         }
+    }
+
+    private void reject(AttemptFailure attemptFailure, ResponseHead response) {
+        rejection = attemptFailure;
         rejectionDetail =
                 "status="
                         + response.status()
@@ -217,9 +226,6 @@
                         + response.respondingInstance()
                                 .map(other -> " instance=" + other)
                                 .orElse("");
-        if (response.status() == MISDIRECTED) {
-            handleMisdirected(response);
-        }
     }
 
     private void handleMisdirected(ResponseHead response) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
@@ -23,6 +23,8 @@
         BYTES_BEHIND_ANSWER(DecisionKind.BYTES_BEHIND_ANSWER, "connection closed"),
         /** A whole answer names another request. */
         OTHER_REQUEST(DecisionKind.ANSWER_TO_OTHER_REQUEST, "answer ignored"),
+        /** An answer that names no request came on a connection that had carried others. */
+        NO_IDENTIFIER(DecisionKind.ANSWER_WITHOUT_IDENTIFIER, "answer rejected"),
         /** A head contains the start of another one. */
         JOINED_HEADS(DecisionKind.ANSWER_HEADS_JOINED, "answer rejected");
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -18,7 +18,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
@@ -41,8 +40,8 @@
     /** Number of interim answers to one request; more are taken for a fault. */
     private static final int MAXIMUM_INTERIM_ANSWERS = 16;
 
-    /** Number of refused requests that a connection remembers; it is not used for more. */
-    private static final int MAXIMUM_REFUSED_REQUESTS = 64;
+    /** Identifiers that a connection remembers; it is not used for more requests. */
+    private static final int MAXIMUM_IDENTIFIERS = 512;
 
     private enum State {
         IDLE,
@@ -77,8 +76,8 @@
     private boolean endedByClose;
     private Instant usableUntil = Instant.MAX;
 
-    /** Requests that the target has refused on this connection. */
-    private final Set<String> refusedRequests = new HashSet<>();
+    /** Hash codes of the identifiers that were sent on this connection. */
+    private final Set<Integer> carriedIdentifiers = new HashSet<>();
 
     /**
      * Creates a connection that is not open yet.
@@ -118,13 +117,18 @@
     /**
      * Sends a request; the body is released.
      *
-     * @param requestId identifier of the request, or empty if it has none
+     * @param match how the answer is told from others; the connection was acquired for it
      */
-    public void send(
-            HttpRequest head, ByteBuf body, Optional<String> requestId, AnswerListener receiver) {
+    public void send(HttpRequest head, ByteBuf body, AnswerMatch match, AnswerListener receiver) {
         listener = receiver;
         requests++;
-        lastRequest = requestId.orElse("");
+        lastRequest = match.requestId();
+        if (!match.isOnKeptConnection()) {
+            reusable = false;
+        }
+        if (match.isByIdentifier()) {
+            carriedIdentifiers.add(match.requestId().hashCode());
+        }
         state = State.BUSY;
         interimAnswers = 0;
         ignoredBytes = 0;
@@ -134,37 +138,30 @@
     }
 
     /**
-     * Records that the answer in progress states that its request was not run. A target may write
-     * it once more before its next answer, where only the identifier shows that it is a copy.
+     * Returns whether the answer to a request could not be taken for that to an earlier one: an
+     * identifier names one answer only if it is sent once.
      */
-    public void onRefused(Optional<String> requestId) {
-        if (requestId.isEmpty()) {
-            pool.keepNoConnections(address());
-        }
-        if (requestId.isEmpty() || refusedRequests.size() >= MAXIMUM_REFUSED_REQUESTS) {
-            reusable = false;
-            return;
-        }
-        refusedRequests.add(requestId.get());
-    }
-
-    private boolean hasRefused(String requestId) {
-        return refusedRequests.contains(requestId);
-    }
-
-    /** Returns whether the answer to a request could not be taken for that to an earlier one. */
-    boolean isUsableFor(Optional<String> requestId) {
-        return isUsable() && requestId.filter(this::hasRefused).isEmpty();
+    boolean isUsableFor(AnswerMatch match) {
+        boolean repeated =
+                match.isByIdentifier()
+                        && (carriedIdentifiers.size() >= MAXIMUM_IDENTIFIERS
+                                || carriedIdentifiers.contains(match.requestId().hashCode()));
+        return isUsable() && !repeated;
     }
 
     /**
-     * Returns whether the answer in progress certainly is that to the request in progress: another
-     * answer may come late or twice, but not before the first request of the connection.
-     *
-     * @param requestId identifier of the request that the answer names
+     * Records that the answer in progress names no request. Returns whether it certainly is that to
+     * the request in progress: another answer may come late or twice, but not before the first
+     * request of the connection.
      */
-    public boolean isCertainlyAnswered(Optional<String> requestId) {
-        return requestId.isPresent() || requests == 1;
+    public boolean acceptUnidentifiedAnswer(int status) {
+        reusable = false;
+        pool.keepNoConnections(address());
+        if (requests == 1) {
+            return true;
+        }
+        recordMismatch(AnswerMismatches.Kind.NO_IDENTIFIER, () -> "status=" + status);
+        return false;
     }
 
     /** Ends the request in progress without waiting for its answer. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -80,14 +80,14 @@
     }
 
     /**
-     * Passes a connection on, or a failure to open one. A request is not sent on a connection on
-     * which one with the same identifier was refused.
+     * Passes on a connection whose answer to the request cannot be confused with one to an earlier
+     * request, or a failure to open one.
      */
     public void acquire(Destination destination, BiConsumer<ClientConnection, Throwable> receiver) {
         Deque<ClientConnection> kept = idle.get(destination.address());
-        while (kept != null && !kept.isEmpty()) {
+        while (kept != null && !kept.isEmpty() && destination.match().isOnKeptConnection()) {
             ClientConnection connection = kept.pollFirst();
-            if (connection.isUsableFor(destination.requestId())) {
+            if (connection.isUsableFor(destination.match())) {
                 receiver.accept(connection, null);
                 return;
             }
@@ -102,7 +102,7 @@
      */
     public void probe(String address, Consumer<Throwable> receiver) {
         open(
-                Destination.of(address),
+                new Destination(address, address, AnswerMatch.byConnection()),
                 (connection, failure) -> {
                     if (connection != null) {
                         connection.close();
@@ -178,8 +178,8 @@
     }
 
     /**
-     * Keeps no connections to an address whose refusals name no request: only on a new connection
-     * such a refusal certainly is that of the request in progress.
+     * Keeps no connections to an address whose answers name no request: only on a new connection
+     * such an answer certainly is that to the request in progress.
      */
     void keepNoConnections(String address) {
         closeKept(address);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/Destination.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/Destination.java
@@ -1,18 +1,10 @@
 package org.bergamothoist.gateway.client;
 
-import java.util.Optional;
-
 /**
- * Where a request goes, and what its answer repeats.
+ * Where a request goes, and how its answer is recognised.
  *
  * @param address IP address and port
  * @param peer name of the peer at the address, such as the identifier of a target
- * @param requestId identifier that the answer repeats, or empty if requests have none
+ * @param match how its answer is told from other answers
  */
-public record Destination(String address, String peer, Optional<String> requestId) {
-
-    /** Creates the destination of a call without an identifier. */
-    static Destination of(String address) {
-        return new Destination(address, address, Optional.empty());
-    }
-}
+public record Destination(String address, String peer, AnswerMatch match) {}
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -16,7 +16,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +45,7 @@
      *
      * @param body empty for none
      * @param timeout time for the whole call
+     * @param match how its answer is told from others
      */
     public record Call(
             HttpMethod method,
@@ -53,9 +53,21 @@
             String target,
             Map<String, String> headers,
             byte[] body,
-            Duration timeout) {
+            Duration timeout,
+            AnswerMatch match) {
+
+        /** Creates a call on a kept connection. */
+        public Call(
+                HttpMethod method,
+                String address,
+                String target,
+                Map<String, String> headers,
+                byte[] body,
+                Duration timeout) {
+            this(method, address, target, headers, body, timeout, AnswerMatch.byContent());
+        }
 
-        /** Creates a call without headers and body. */
+        /** Creates a call without headers and body on a kept connection. */
         public static Call get(String address, String target, Duration timeout) {
             return new Call(HttpMethod.GET, address, target, Map.of(), new byte[0], timeout);
         }
@@ -77,7 +89,8 @@
      */
     public CompletionStage<HttpAnswer> call(Call call, Duration sendWithin) {
         Pending pending = new Pending(call, sendWithin);
-        pool.acquire(Destination.of(call.address()), pending::connected);
+        pool.acquire(
+                new Destination(call.address(), call.address(), call.match()), pending::connected);
         return pending.answer;
     }
 
@@ -145,7 +158,7 @@
             if (!bodyless) {
                 head.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             }
-            opened.send(head, Unpooled.wrappedBuffer(call.body()), Optional.empty(), this);
+            opened.send(head, Unpooled.wrappedBuffer(call.body()), call.match(), this);
         }
 
         @Override
