Keep no connections to targets with repeated mismatches, then send them less

A target that writes copies of answers again and again went on to get kept connections, on which the next copy may meet a request, and as many requests as others: only answers that failed an attempt counted against it.

Change: after three mismatches within ten seconds its connections are not kept for thirty seconds; a mismatch after that counts as a failure of the target, as failed requests do.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -73,18 +73,6 @@
 /** One daemon: wires its parts, starts them and stops them. All parts run on one event loop. */
 public final class Gateway implements PlatformAdapter.Questions {
 
-    /** Time for a connection to a target: many times the way between data centres. */
-    private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(500);
-
-    /** Time for which an idle connection is kept if its peer states none. */
-    private static final Duration IDLE_TIME = Duration.ofSeconds(4);
-
-    /** Time by which a connection is given up before its peer closes it. */
-    private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
-
-    /** Time for a connection to the store or another daemon. */
-    private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofMillis(700);
-
     /** Interval between checks of lapsed registrations. */
     private static final Duration LAPSE_CHECK = Duration.ofMillis(250);
 
@@ -166,9 +154,9 @@
         this.heldBytes =
                 new HeldBytes(
                         Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_HELD_BYTES, metrics, log);
-        ConnectionPool targets = pool("targets", TARGET_CONNECT_TIMEOUT);
-        HttpCaller controlCaller =
-                new HttpCaller(pool("control", CONTROL_CONNECT_TIMEOUT), eventLoop, heldBytes);
+        ConnectionPools pools = new ConnectionPools(eventLoop, clock, metrics, log);
+        ConnectionPool targets = pools.targets(clusterView.targetStates());
+        HttpCaller controlCaller = new HttpCaller(pools.control(), eventLoop, heldBytes);
         this.store = platform.store(settings.store(), controlCaller);
         this.quarantine = createQuarantine(targets);
         this.updater = createUpdater(platform, targets);
@@ -307,16 +295,6 @@
                 log);
     }
 
-    private ConnectionPool pool(String name, Duration connectTimeout) {
-        return new ConnectionPool(
-                name,
-                eventLoop,
-                clock,
-                new ConnectionPool.Settings(connectTimeout, IDLE_TIME, IDLE_MARGIN),
-                metrics,
-                log);
-    }
-
     private ExchangeDependencies exchangeDependencies(
             PlatformAdapter platform, ConnectionPool targets) {
         TargetSelector targetSelector =
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
@@ -1,6 +1,11 @@
 package org.bergamothoist.gateway.client;
 
 import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -17,6 +22,11 @@
     /** Number of addresses whose counters are kept; those that are counted first are given up. */
     private static final int MAXIMUM_ADDRESSES = 256;
 
+    /** Number of mismatches within {@link #REPETITION_WINDOW} that are no single fault any more. */
+    private static final int REPEATED = 3;
+
+    private static final Duration REPETITION_WINDOW = Duration.ofSeconds(10);
+
     /** A way in which bytes of a peer do not match a request. */
     enum Kind {
         /** Bytes came while no answer was expected. */
@@ -54,16 +64,25 @@
 
     private final MetricRegistry metrics;
     private final DecisionLog log;
-    private final Map<String, String> peersByAddress = new LinkedHashMap<>();
+    private final InstantSource clock;
+    private final Map<String, PeerHistory> histories = new LinkedHashMap<>();
+
+    /** A peer and the times of its newest mismatches, {@link #REPEATED} of them at most. */
+    private record PeerHistory(String peer, Deque<Instant> newest) {}
 
-    AnswerMismatches(MetricRegistry metrics, DecisionLog log) {
+    AnswerMismatches(InstantSource clock, MetricRegistry metrics, DecisionLog log) {
+        this.clock = clock;
         this.metrics = metrics;
         this.log = log;
     }
 
-    /** Records a mismatch. */
-    void record(Kind kind, Origin origin, Supplier<String> details) {
-        track(origin);
+    /** Records a mismatch; returns whether the peer shows them again and again. */
+    boolean record(Kind kind, Origin origin, Supplier<String> details) {
+        Deque<Instant> newest = history(origin).newest();
+        newest.addLast(clock.instant());
+        if (newest.size() > REPEATED) {
+            newest.removeFirst();
+        }
         String metric = kind.metric(origin.peer());
         metrics.counter(metric).inc();
         log.write(
@@ -82,29 +101,32 @@
                                 + " count="
                                 + metrics.counter(metric).getCount(),
                 kind.outcome);
+        return newest.size() == REPEATED
+                && newest.getLast().isBefore(newest.getFirst().plus(REPETITION_WINDOW));
     }
 
-    private void track(Origin origin) {
-        String before = peersByAddress.put(origin.address(), origin.peer());
-        if (before != null && !before.equals(origin.peer())) {
-            removeCounters(before);
+    private PeerHistory history(Origin origin) {
+        PeerHistory before = histories.get(origin.address());
+        if (before != null && before.peer().equals(origin.peer())) {
+            return before;
         }
-        if (peersByAddress.size() > MAXIMUM_ADDRESSES) {
-            forget(peersByAddress.keySet().iterator().next());
+        forget(origin.address());
+        PeerHistory history = new PeerHistory(origin.peer(), new ArrayDeque<>());
+        histories.put(origin.address(), history);
+        if (histories.size() > MAXIMUM_ADDRESSES) {
+            forget(histories.keySet().iterator().next());
         }
+        return history;
     }
 
     /** Gives up the counters of an address whose owner is gone. */
     void forget(String address) {
-        String peer = peersByAddress.remove(address);
-        if (peer != null) {
-            removeCounters(peer);
+        PeerHistory history = histories.remove(address);
+        if (history == null) {
+            return;
         }
-    }
-
-    private void removeCounters(String peer) {
         for (Kind kind : Kind.values()) {
-            metrics.remove(kind.metric(peer));
+            metrics.remove(kind.metric(history.peer()));
         }
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -227,12 +227,10 @@
     }
 
     private void recordMismatch(AnswerMismatches.Kind kind, Supplier<String> details) {
-        pool.mismatches()
-                .record(
-                        kind,
-                        new AnswerMismatches.Origin(
-                                address(), peer(), number, requests, lastRequest),
-                        details);
+        pool.onMismatch(
+                kind,
+                new AnswerMismatches.Origin(address(), peer(), number, requests, lastRequest),
+                details);
     }
 
     @Override
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -12,20 +12,23 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.bergamothoist.core.decision.DecisionLog;
 
 /** Opens connections and keeps idle ones by address. Confined to the event loop. */
 public final class ConnectionPool {
 
+    /** Time for which no connections are kept to a peer whose answers matched no request. */
+    private static final Duration UNRELIABLE_TIME = Duration.ofSeconds(30);
+
     private final EventLoop eventLoop;
     private final InstantSource clock;
     private final Settings settings;
@@ -33,7 +36,8 @@
     private final AnswerMismatches mismatches;
     private long lastNumber;
     private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
-    private final Set<String> notKept = new HashSet<>();
+    private final Map<String, Instant> notKeptUntil = new HashMap<>();
+    private final Consumer<String> unreliablePeers;
 
     /**
      * How connections are opened and kept.
@@ -48,6 +52,8 @@
      * Creates an empty pool.
      *
      * @param name names the pool in metrics
+     * @param unreliablePeers is told the name of a peer for each answer that matches no request, if
+     *     the peer goes on with them on connections that are not kept
      */
     public ConnectionPool(
             String name,
@@ -55,12 +61,14 @@
             InstantSource clock,
             Settings settings,
             MetricRegistry metrics,
-            DecisionLog log) {
+            DecisionLog log,
+            Consumer<String> unreliablePeers) {
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.settings = settings;
         this.opened = metrics.counter("connections-opened." + name);
-        this.mismatches = new AnswerMismatches(metrics, log);
+        this.mismatches = new AnswerMismatches(clock, metrics, log);
+        this.unreliablePeers = unreliablePeers;
     }
 
     InstantSource clock() {
@@ -75,8 +83,25 @@
         return settings.idleMargin();
     }
 
-    AnswerMismatches mismatches() {
-        return mismatches;
+    /** Records what a peer sent that matches no request. */
+    void onMismatch(
+            AnswerMismatches.Kind kind, AnswerMismatches.Origin origin, Supplier<String> details) {
+        if (!mismatches.record(kind, origin, details)) {
+            return;
+        }
+        if (!isKept(origin.address())) {
+            unreliablePeers.accept(origin.peer());
+        }
+        keepNoConnections(origin.address(), clock.instant().plus(UNRELIABLE_TIME));
+    }
+
+    private boolean isKept(String address) {
+        Instant until = notKeptUntil.get(address);
+        if (until != null && !clock.instant().isBefore(until)) {
+            notKeptUntil.remove(address);
+            return true;
+        }
+        return until == null;
     }
 
     /**
@@ -159,7 +184,7 @@
     }
 
     void release(ClientConnection connection) {
-        if (notKept.contains(connection.address())) {
+        if (!isKept(connection.address())) {
             connection.close();
             return;
         }
@@ -182,13 +207,17 @@
      * such an answer certainly is that to the request in progress.
      */
     void keepNoConnections(String address) {
+        keepNoConnections(address, Instant.MAX);
+    }
+
+    private void keepNoConnections(String address, Instant until) {
         closeKept(address);
-        notKept.add(address);
+        notKeptUntil.merge(address, until, (before, now) -> now.isAfter(before) ? now : before);
     }
 
     /** Closes the idle connections to an address whose owner is gone. */
     public void closeIdle(String address) {
-        notKept.remove(address);
+        notKeptUntil.remove(address);
         mismatches.forget(address);
         closeKept(address);
     }
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -47,7 +47,8 @@
                         () -> InstantSource.system().instant().plus(suspendedFor),
                         new ConnectionPool.Settings(TIMEOUT, TIMEOUT, Duration.ZERO),
                         new MetricRegistry(),
-                        (kind, subject, inputs, outcome) -> {});
+                        (kind, subject, inputs, outcome) -> {},
+                        peer -> {});
         HeldBytes heldBytes =
                 new HeldBytes(
                         1 << 20, new MetricRegistry(), (kind, subject, inputs, outcome) -> {});
