Attribute losses by what was lost together, not part by part

Cause: each suspected part was compared with each other one that shares a loss, and with its whole set of losses, and that again for each request that completed, since every cleared part made the daemon decide anew. Parts of a prompt are lost together, so that most of these comparisons repeat one another.

Change: suspects with the same losses share one pattern, and patterns are compared as bit sets. Clearing what was lost only once does not decide anew, as it doesn't take part in the attribution.

The tests of the package pass.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/GossipQuarantine.java
@@ -280,6 +280,10 @@
     }
 
     private void clear(Collection<Fingerprint> keys, String reason) {
+        boolean attributed =
+                keys.stream()
+                        .anyMatch(
+                                key -> contents.lossCount(key) >= LossAttribution.REPEATED_LOSSES);
         List<Fingerprint> cleared = keys.stream().filter(contents::clear).toList();
         if (cleared.isEmpty()) {
             return;
@@ -289,7 +293,9 @@
             log.write(DecisionKind.CONTENT_CLEARED, key.abbreviated(), () -> reason, "served");
         }
         listener.onChange();
-        updateQuarantined();
+        if (attributed) {
+            updateQuarantined();
+        }
     }
 
     /** Takes over what another daemon or the store knows. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/LossAttribution.java
@@ -1,9 +1,13 @@
 package org.bergamothoist.core.quarantine;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,7 +41,13 @@
     /** Sorted by key: contents go before parts, since a content says more of what was lost. */
     private final List<Suspect> suspects;
 
-    private final Map<TargetLoss, List<Integer>> suspectsByLoss = new HashMap<>();
+    /** By the index of each suspect; those that were lost together each time share one. */
+    private final List<LossPattern> patterns;
+
+    private final List<LossPattern> distinctPatterns;
+
+    /** The patterns that contain each loss, by the index of the loss. */
+    private final List<List<LossPattern>> patternsByLoss = new ArrayList<>();
 
     /**
      * A content or part that was lost repeatedly.
@@ -45,20 +55,49 @@
      * @param losses targets that were lost while they ran it
      * @param count how many of these losses are independent of each other
      */
-    record Suspect(Fingerprint key, Set<TargetLoss> losses, int count) {
+    record Suspect(Fingerprint key, Set<TargetLoss> losses, int count) {}
+
+    /** The losses of suspects that were lost together each time. */
+    private static final class LossPattern {
+
+        private final BitSet losses;
+        private final int size;
+        private final List<Integer> members = new ArrayList<>();
+        private int highestContentCount;
+        private int highestPartCount;
 
-        private boolean coversAllOf(Suspect other) {
-            return losses.size() >= other.losses.size() && losses.containsAll(other.losses);
+        private LossPattern(BitSet losses) {
+            this.losses = losses;
+            this.size = losses.cardinality();
+        }
+
+        private void add(int index, Suspect suspect) {
+            members.add(index);
+            if (suspect.key().isPart()) {
+                highestPartCount = Math.max(highestPartCount, suspect.count());
+            } else {
+                highestContentCount = Math.max(highestContentCount, suspect.count());
+            }
         }
 
-        private boolean coversAllButCoincidenceOf(Set<TargetLoss> others) {
-            long missing = others.stream().filter(loss -> !losses.contains(loss)).count();
-            return missing <= COINCIDENTAL_LOSSES;
+        private boolean coversAllOf(LossPattern other) {
+            return size >= other.size && countMissing(other.losses) == 0;
+        }
+
+        private boolean coversAllButCoincidenceOf(BitSet others) {
+            return countMissing(others) <= COINCIDENTAL_LOSSES;
+        }
+
+        private int countMissing(BitSet others) {
+            BitSet missing = (BitSet) others.clone();
+            missing.andNot(losses);
+            return missing.cardinality();
         }
     }
 
     /**
-     * Creates an attribution.
+     * Creates an attribution. Its cost grows with the number of different patterns of losses, not
+     * with the number of suspects: all parts of a prompt are mostly lost together.
      *
      * @param threshold number of losses from which something is quarantined
      * @param suspects all that was lost {@value #REPEATED_LOSSES} times or more
@@ -66,10 +105,24 @@
     LossAttribution(int threshold, List<Suspect> suspects) {
         this.threshold = threshold;
         this.suspects = suspects.stream().sorted(Comparator.comparing(Suspect::key)).toList();
-        for (int index = 0; index < this.suspects.size(); index++) {
-            for (TargetLoss loss : this.suspects.get(index).losses()) {
-                suspectsByLoss.computeIfAbsent(loss, key -> new ArrayList<>()).add(index);
+        Map<TargetLoss, Integer> lossIndexes = new HashMap<>();
+        Map<BitSet, LossPattern> patternsByLosses = new LinkedHashMap<>();
+        this.patterns = new ArrayList<>();
+        for (Suspect suspect : this.suspects) {
+            BitSet losses = new BitSet();
+            for (TargetLoss loss : suspect.losses()) {
+                losses.set(lossIndexes.computeIfAbsent(loss, key -> lossIndexes.size()));
             }
+            LossPattern pattern = patternsByLosses.computeIfAbsent(losses, LossPattern::new);
+            pattern.add(patterns.size(), suspect);
+            patterns.add(pattern);
+        }
+        this.distinctPatterns = List.copyOf(patternsByLosses.values());
+        for (int loss = 0; loss < lossIndexes.size(); loss++) {
+            patternsByLoss.add(new ArrayList<>());
+        }
+        for (LossPattern pattern : distinctPatterns) {
+            pattern.losses.stream().forEach(loss -> patternsByLoss.get(loss).add(pattern));
         }
     }
 
@@ -79,83 +132,114 @@
      * some of it only are not.
      */
     Set<Set<Fingerprint>> quarantined() {
-        boolean[] chosen = choose();
+        Set<LossPattern> common = commonPatterns();
+        boolean[] chosen = choose(common);
+        Map<LossPattern, Set<Fingerprint>> groupsOfParts = new IdentityHashMap<>();
         Set<Set<Fingerprint>> groups = new HashSet<>();
         for (int index = 0; index < suspects.size(); index++) {
-            int count = suspects.get(index).count();
-            if (count >= threshold + EXCESS_LOSSES && !isCommon(index)
-                    || count >= threshold && chosen[index]) {
-                groups.add(group(index, chosen));
+            if (!isBlamed(index, chosen[index], common)) {
+                continue;
+            }
+            Suspect suspect = suspects.get(index);
+            if (suspect.key().isPart()) {
+                groupsOfParts.computeIfAbsent(
+                        patterns.get(index), pattern -> groupOfParts(pattern, chosen));
+            } else {
+                groups.add(Set.of(suspect.key()));
             }
         }
+        groups.addAll(groupsOfParts.values());
         return groups;
     }
 
+    private boolean isBlamed(int index, boolean chosen, Set<LossPattern> common) {
+        int count = suspects.get(index).count();
+        return count >= threshold + EXCESS_LOSSES && !isCommon(index, common)
+                || count >= threshold && chosen;
+    }
+
+    private boolean isCommon(int index, Set<LossPattern> common) {
+        return suspects.get(index).key().isPart() && common.contains(patterns.get(index));
+    }
+
     /**
-     * Returns whether a part is common to several requests that crash targets, which explain its
-     * losses: too few remain that are not those of contents and other parts that are lost only
-     * together with it, and that have reached the threshold.
+     * Returns the patterns whose parts are common to several requests that crash targets, which
+     * explain their losses: too few remain that are not those of contents and other parts that are
+     * lost only together with them, and that have reached the threshold.
      */
-    private boolean isCommon(int index) {
-        Suspect part = suspects.get(index);
-        if (!part.key().isPart()) {
-            return false;
-        }
-        Set<TargetLoss> remaining = new HashSet<>(part.losses());
-        for (int other : sharingLosses(part)) {
-            if (other != index && isLostOnlyWith(suspects.get(other), part)) {
-                remaining.removeAll(suspects.get(other).losses());
+    private Set<LossPattern> commonPatterns() {
+        Set<LossPattern> common = Collections.newSetFromMap(new IdentityHashMap<>());
+        for (LossPattern pattern : distinctPatterns) {
+            BitSet remaining = (BitSet) pattern.losses.clone();
+            for (LossPattern other : sharingLosses(pattern)) {
+                if (isLostOnlyWith(other, pattern)) {
+                    remaining.andNot(other.losses);
+                }
+            }
+            int left = remaining.cardinality();
+            if (left < threshold && left < pattern.size) {
+                common.add(pattern);
             }
         }
-        return remaining.size() < threshold && remaining.size() < part.losses().size();
+        return common;
     }
 
-    /** Returns whether another suspect is lost only together with a part, but not each time. */
-    private boolean isLostOnlyWith(Suspect other, Suspect part) {
+    /** Returns whether other suspects are lost only with the parts of a pattern, not each time. */
+    private boolean isLostOnlyWith(LossPattern other, LossPattern pattern) {
         boolean distinguishable =
-                !other.key().isPart() || !other.coversAllButCoincidenceOf(part.losses());
-        return other.count() >= threshold && distinguishable && part.coversAllOf(other);
+                other.highestContentCount >= threshold
+                        || other.highestPartCount >= threshold
+                                && !other.coversAllButCoincidenceOf(pattern.losses);
+        return distinguishable && pattern.coversAllOf(other);
     }
 
-    private Set<Integer> sharingLosses(Suspect suspect) {
-        Set<Integer> sharing = new HashSet<>();
-        suspect.losses().forEach(loss -> sharing.addAll(suspectsByLoss.get(loss)));
+    private Set<LossPattern> sharingLosses(LossPattern pattern) {
+        Set<LossPattern> sharing = Collections.newSetFromMap(new IdentityHashMap<>());
+        pattern.losses.stream().forEach(loss -> sharing.addAll(patternsByLoss.get(loss)));
         return sharing;
     }
 
-    private boolean[] choose() {
+    private boolean[] choose(Set<LossPattern> common) {
         boolean[] chosen = new boolean[suspects.size()];
         int[] ownLosses = new int[suspects.size()];
         int[] unexplained = new int[suspects.size()];
-        for (int index = 0; index < suspects.size(); index++) {
-            ownLosses[index] = countOwnLosses(suspects.get(index));
-            unexplained[index] = isCommon(index) ? 0 : suspects.get(index).losses().size();
+        for (LossPattern pattern : distinctPatterns) {
+            int own = countOwnLosses(pattern);
+            for (int index : pattern.members) {
+                ownLosses[index] = own;
+                unexplained[index] = isCommon(index, common) ? 0 : pattern.size;
+            }
         }
-        Set<TargetLoss> explained = new HashSet<>();
+        BitSet explained = new BitSet();
         int next = mostLikely(ownLosses, unexplained);
         while (next >= 0) {
             chosen[next] = true;
-            for (TargetLoss loss : suspects.get(next).losses()) {
-                if (explained.add(loss)) {
-                    suspectsByLoss.get(loss).forEach(index -> unexplained[index]--);
-                }
-            }
+            BitSet added = (BitSet) patterns.get(next).losses.clone();
+            added.andNot(explained);
+            explained.or(added);
+            added.stream()
+                    .mapToObj(patternsByLoss::get)
+                    .flatMap(List::stream)
+                    .flatMap(pattern -> pattern.members.stream())
+                    .forEach(index -> unexplained[index]--);
             next = mostLikely(ownLosses, unexplained);
         }
         return chosen;
     }
 
-    /** Counts the losses that nothing explains but the suspect and what it covers entirely. */
-    private int countOwnLosses(Suspect suspect) {
-        int count = 0;
-        for (TargetLoss loss : suspect.losses()) {
-            boolean own =
-                    suspectsByLoss.get(loss).stream()
-                            .map(suspects::get)
-                            .allMatch(suspect::coversAllOf);
-            count += own ? 1 : 0;
-        }
-        return count;
+    /** Counts the losses that nothing explains but a pattern and what it covers entirely. */
+    private int countOwnLosses(LossPattern pattern) {
+        Set<LossPattern> notCovered = Collections.newSetFromMap(new IdentityHashMap<>());
+        sharingLosses(pattern).stream()
+                .filter(other -> !pattern.coversAllOf(other))
+                .forEach(notCovered::add);
+        return (int)
+                pattern.losses.stream()
+                        .filter(
+                                loss ->
+                                        patternsByLoss.get(loss).stream()
+                                                .noneMatch(notCovered::contains))
+                        .count();
     }
 
     /** Returns the index of the suspect that explains most, or -1 if the rest is coincidence. */
@@ -180,33 +264,24 @@
         return suspects.get(index).count() > suspects.get(best).count();
     }
 
-    private Set<Fingerprint> group(int blamed, boolean[] chosen) {
-        Suspect suspect = suspects.get(blamed);
-        if (!suspect.key().isPart()) {
-            return Set.of(suspect.key());
-        }
-        Set<Integer> sharing = sharingLosses(suspect);
-        Set<TargetLoss> remaining = new HashSet<>(suspect.losses());
-        for (int index : sharing) {
-            Suspect other = suspects.get(index);
-            if (chosen[index] && !other.coversAllButCoincidenceOf(suspect.losses())) {
-                remaining.removeAll(other.losses());
+    /** Returns the parts that cannot be told apart from the blamed ones of a pattern. */
+    private Set<Fingerprint> groupOfParts(LossPattern blamed, boolean[] chosen) {
+        Set<LossPattern> sharing = sharingLosses(blamed);
+        BitSet remaining = (BitSet) blamed.losses.clone();
+        for (LossPattern other : sharing) {
+            boolean explains = other.members.stream().anyMatch(index -> chosen[index]);
+            if (explains && !other.coversAllButCoincidenceOf(blamed.losses)) {
+                remaining.andNot(other.losses);
             }
         }
-        Set<TargetLoss> toExplain =
-                remaining.size() > COINCIDENTAL_LOSSES ? remaining : suspect.losses();
+        BitSet toExplain =
+                remaining.cardinality() > COINCIDENTAL_LOSSES ? remaining : blamed.losses;
         return sharing.stream()
-                .filter(
-                        index ->
-                                index == blamed
-                                        || isIndistinguishable(suspects.get(index), toExplain))
-                .map(index -> suspects.get(index).key())
+                .filter(other -> other.coversAllButCoincidenceOf(toExplain))
+                .flatMap(other -> other.members.stream())
+                .map(suspects::get)
+                .filter(suspect -> suspect.key().isPart() && suspect.count() >= threshold)
+                .map(Suspect::key)
                 .collect(Collectors.toUnmodifiableSet());
     }
-
-    private boolean isIndistinguishable(Suspect other, Set<TargetLoss> losses) {
-        return other.key().isPart()
-                && other.count() >= threshold
-                && other.coversAllButCoincidenceOf(losses);
-    }
 }
