Give each of the process's own calls a connection of its own

Nothing tells the answer to a call without an identifier from a copy of an earlier answer on its connection. A peer that writes an answer once more, before its next one, was believed. What a daemon would see: an older record of the store under a newer offset; an empty list of targets, which was the answer to an append; a refused record that counts as stored; the order lease, held by two daemons, since a copy of an append hides the refusal; a fenced order that counts as accepted; an old report of an engine; relayed records that count as read just now. Two holders of the lease break the promise that one machine orders, and relayed records that count as current let a daemon act on an old configuration.

Cause: all calls used AnswerMatch.byContent(), though no caller checks the content.

Change: the default of a call is AnswerMatch.byConnection(), and its request says "Connection: close", so that the peer ends the connection too.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -56,7 +57,7 @@
             Duration timeout,
             AnswerMatch match) {
 
-        /** Creates a call on a kept connection. */
+        /** Creates a call on a connection of its own, which is closed after the answer. */
         public Call(
                 HttpMethod method,
                 String address,
@@ -64,10 +65,10 @@
                 Map<String, String> headers,
                 byte[] body,
                 Duration timeout) {
-            this(method, address, target, headers, body, timeout, AnswerMatch.byContent());
+            this(method, address, target, headers, body, timeout, AnswerMatch.byConnection());
         }
 
-        /** Creates a call without headers and body on a kept connection. */
+        /** Creates a call without headers and body on a connection of its own. */
         public static Call get(String address, String target, Duration timeout) {
             return new Call(HttpMethod.GET, address, target, Map.of(), new byte[0], timeout);
         }
@@ -154,6 +155,9 @@
                     new DefaultHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target());
             head.headers().set(HttpHeaderNames.HOST, call.address());
             call.headers().forEach(head.headers()::set);
+            if (!call.match().isOnKeptConnection()) {
+                head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
             boolean bodyless = call.body().length == 0 && HttpMethod.GET.equals(call.method());
             if (!bodyless) {
                 head.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/client/HttpCallerTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -14,6 +15,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
@@ -67,11 +69,32 @@
      * @param afterwards run on the event loop before it can notice that the connection is open
      */
     private CompletableFuture<HttpAnswer> call(Duration sendWithin, Runnable afterwards) {
-        String address = "127.0.0.1:" + server.getLocalPort();
+        return call(HttpCaller.Call.get(address(), "/", TIMEOUT), sendWithin, afterwards);
+    }
+
+    private CompletableFuture<HttpAnswer> callOnKeptConnection() {
+        var call =
+                new HttpCaller.Call(
+                        HttpMethod.GET,
+                        address(),
+                        "/",
+                        Map.of(),
+                        new byte[0],
+                        TIMEOUT,
+                        AnswerMatch.byContent());
+        return call(call, TIMEOUT, () -> {});
+    }
+
+    private String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private CompletableFuture<HttpAnswer> call(
+            HttpCaller.Call call, Duration sendWithin, Runnable afterwards) {
         CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         eventLoop.execute(
                 () -> {
-                    caller.call(HttpCaller.Call.get(address, "/", TIMEOUT), sendWithin)
+                    caller.call(call, sendWithin)
                             .whenComplete(
                                     (result, failure) -> {
                                         if (failure == null) {
@@ -129,13 +152,13 @@
      */
     @Test
     void keptConnectionDoesNotShowThatItsAddressIsServed() throws Exception {
-        CompletableFuture<HttpAnswer> answer = call(TIMEOUT, () -> {});
+        CompletableFuture<HttpAnswer> answer = callOnKeptConnection();
         try (Socket accepted = server.accept()) {
             assertThat(accepted.getInputStream().read()).isEqualTo('G');
             accepted.getOutputStream()
                     .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
             answer.join();
-            String address = "127.0.0.1:" + server.getLocalPort();
+            String address = address();
             server.close();
             CompletableFuture<Throwable> failure = new CompletableFuture<>();
             eventLoop.execute(() -> pool.probe(address, failure::complete));
