Reject stale pages of cache events

A copy of an earlier page was applied again: parts that had been removed since were added, or the index of an engine was dropped once more if the page told of lost events. A copy of another answer had no epoch and no number, so that the poller dropped the index and began anew. If the copy came without the next answer behind it, each later answer on the connection belonged to the call before.

Cause: the pages were believed as they came, without regard to the number asked for.

Change: a page of the same epoch must not end before the number asked for, and its events must lie above that number and not above its end. A page without an epoch or an end is malformed. The call fails, its connection is closed, and the poller asks again from where it was. Pages of another epoch, gaps and lost events are accepted as before. The first page of a poller has nothing to be compared with; it is read on a connection of its own. A copy of an empty page is accepted, since it says what is known already.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/HttpCaller.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.gateway.GatewayException;
 import org.bergamothoist.gateway.buffer.HeldBytes;
@@ -82,6 +83,23 @@
         return call(call, call.timeout());
     }
 
+    /**
+     * Makes a call whose answer is read by a function. If that throws, the stage fails and the
+     * connection is closed: if one answer on it is stale, so may be the next one.
+     */
+    public <T> CompletionStage<T> call(Call call, Function<HttpAnswer, T> reader) {
+        Pending pending = start(call, call.timeout());
+        // Runs before the connection is kept, since that follows the completion of the answer.
+        return pending.answer
+                .thenApply(reader)
+                .whenComplete(
+                        (result, failure) -> {
+                            if (failure != null) {
+                                pending.closeConnection();
+                            }
+                        });
+    }
+
     /**
      * Makes a call like {@link #call(Call)}, unless its connection opens too late.
      *
@@ -89,10 +107,14 @@
      *     make it may have ended
      */
     public CompletionStage<HttpAnswer> call(Call call, Duration sendWithin) {
+        return start(call, sendWithin).answer;
+    }
+
+    private Pending start(Call call, Duration sendWithin) {
         Pending pending = new Pending(call, sendWithin);
         pool.acquire(
                 new Destination(call.address(), call.address(), call.match()), pending::connected);
-        return pending.answer;
+        return pending;
     }
 
     /** A call that was not answered. */
@@ -132,10 +154,14 @@
         }
 
         private void timeOut() {
+            closeConnection();
+            fail("no answer within " + call.timeout().toMillis() + " ms");
+        }
+
+        private void closeConnection() {
             if (connection != null) {
                 connection.abort();
             }
-            fail("no answer within " + call.timeout().toMillis() + " ms");
         }
 
         private void connected(ClientConnection opened, Throwable failure) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventClient.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.prefix.CachedPartEvent;
 
@@ -17,14 +18,29 @@
      *     are no longer available
      */
     record EventPage(
-            long epoch, long nextSequence, boolean eventsLost, List<CachedPartEvent> events) {}
+            long epoch, long nextSequence, boolean eventsLost, List<CachedPartEvent> events) {
+
+        /** Returns the position after which the next page follows. */
+        public Position end() {
+            return new Position(epoch, nextSequence);
+        }
+    }
+
+    /**
+     * The end of a page, after which the next one follows.
+     *
+     * @param epoch epoch of the page
+     * @param sequence sequence number at which the next page starts
+     */
+    record Position(long epoch, long sequence) {}
 
     /**
-     * Reads the events from a sequence number on; completes exceptionally if the call fails.
+     * Reads the events after a position; completes exceptionally if the call fails, or if it
+     * returns a page that does not follow the position, such as a copy of an earlier one.
      *
      * @param address address of the engine or store, {@code host:port}
-     * @param since sequence number from which to read on
+     * @param after end of the last page, or empty to read from the first event on
      * @param wait maximum time that the engine or store waits for an event (long polling)
      */
-    CompletionStage<EventPage> read(String address, long since, Duration wait);
+    CompletionStage<EventPage> read(String address, Optional<Position> after, Duration wait);
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
@@ -24,7 +24,7 @@
     private final CacheEventClient client;
     private final Scheduler scheduler;
     private final Observer observer;
-    private long nextSequence;
+    private Optional<CacheEventClient.Position> position = Optional.empty();
     private Duration retryDelay = RETRY_DELAY;
     private boolean stopped;
 
@@ -73,7 +73,7 @@
             scheduler.schedule(RETRY_DELAY, this::poll);
             return;
         }
-        client.read(current.get(), nextSequence, LONG_POLL_WAIT)
+        client.read(current.get(), position, LONG_POLL_WAIT)
                 .whenComplete(
                         (page, failure) -> {
                             if (stopped) {
@@ -86,7 +86,7 @@
                                 return;
                             }
                             retryDelay = RETRY_DELAY;
-                            nextSequence = page.nextSequence();
+                            position = Optional.of(page.end());
                             observer.onEvents(current.get(), page);
                             scheduler.schedule(POLL_DELAY, this::poll);
                         });
