Cost a connection only, not all, for an answer without identifier

One answer without an identifier lost its target all kept connections until it started again, also if the target names requests otherwise.

Cause: whether a target names requests at all, and whether one answer does, were the same to the pool.

Change: the pool remembers whose answers have named their requests. There an answer without an identifier is rejected on a used connection, which is closed, and costs no more than that, unless it is a refusal.

Result: AnswerCopyTest.oneAnswerWithoutIdentifierCostsOneConnection is new; it, the rest of AnswerCopyTest, AnswerMismatchTest, StrayBytesTest and FaultyTargetTest pass.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -169,10 +169,9 @@
             connection.onOtherRequestAnswered(response.requestId().get(), response.status());
             return false;
         }
-        boolean certain =
-                response.requestId().isPresent()
-                        || connection.acceptUnidentifiedAnswer(response.status());
-        if (!certain) {
+        if (response.requestId().isPresent()) {
+            connection.onIdentifiedAnswer();
+        } else if (!connection.acceptUnidentifiedAnswer(response.status(), response.notRun())) {
             reject(AttemptFailure.INVALID_ANSWER, response);
             return true;
         }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -153,10 +153,15 @@
      * Records that the answer in progress names no request. Returns whether it certainly is that to
      * the request in progress: another answer may come late or twice, but not before the first
      * request of the connection.
+     *
+     * @param refusal whether the answer states that its request was not run; a peer that names
+     *     requests may leave that out of its refusals
      */
-    public boolean acceptUnidentifiedAnswer(int status) {
+    public boolean acceptUnidentifiedAnswer(int status, boolean refusal) {
         reusable = false;
-        pool.keepNoConnections(address());
+        if (refusal || !pool.hasNamedRequests(address())) {
+            pool.keepNoConnections(address());
+        }
         if (requests == 1) {
             return true;
         }
@@ -164,6 +169,11 @@
         return false;
     }
 
+    /** Records that the answer in progress names its request. */
+    public void onIdentifiedAnswer() {
+        pool.onRequestNamed(address());
+    }
+
     /** Ends the request in progress without waiting for its answer. */
     public void abort() {
         listener = null;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -17,7 +17,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -39,6 +41,9 @@
     private final Map<String, Instant> notKeptUntil = new HashMap<>();
     private final Consumer<String> unreliablePeers;
 
+    /** Addresses whose answers have named their requests. */
+    private final Set<String> naming = new HashSet<>();
+
     /**
      * How connections are opened and kept.
      *
@@ -202,6 +207,14 @@
         }
     }
 
+    void onRequestNamed(String address) {
+        naming.add(address);
+    }
+
+    boolean hasNamedRequests(String address) {
+        return naming.contains(address);
+    }
+
     /**
      * Keeps no connections to an address whose answers name no request: only on a new connection
      * such an answer certainly is that to the request in progress.
@@ -218,6 +231,7 @@
     /** Closes the idle connections to an address whose owner is gone. */
     public void closeIdle(String address) {
         notKeptUntil.remove(address);
+        naming.remove(address);
         mismatches.forget(address);
         closeKept(address);
     }
