Close connections to targets whose registrations have lapsed

Found by review. What the pool remembers of an address (that no connections are kept, counters of mismatches) was forgotten when a target was removed, not when its registration had lapsed, so that the next owner of the address got no kept connections.

Change: both ways close the idle connections. The registry returns the lapsed targets in place of their identifiers.

Result: TargetRegistryTest passes, with the identifiers extracted. No test shows the leftover itself.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -120,20 +120,17 @@
         }
     }
 
-    /**
-     * Removes lapsed registrations whose grace period is over; returns the identifiers of their
-     * targets.
-     */
-    public List<String> removeLapsed() {
+    /** Removes lapsed registrations whose grace period is over; returns their targets. */
+    public List<RegisteredTarget> removeLapsed() {
         Instant now = clock.instant();
         boolean gracePeriodOver = !mayHaveLapsed();
-        List<String> removed =
+        List<RegisteredTarget> removed =
                 entries.values().stream()
                         .filter(entry -> entry.lapsed)
                         .filter(entry -> gracePeriodOver || !now.isBefore(entry.inUseUntil))
-                        .map(entry -> entry.target.id())
+                        .map(entry -> entry.target)
                         .toList();
-        removed.forEach(entries::remove);
+        removed.forEach(target -> entries.remove(target.id()));
         return removed;
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -65,7 +65,7 @@
         assertThat(registry.removeLapsed()).isEmpty();
         assertThat(registry.accepting("service")).hasSize(1);
         time.advanceMillis(200);
-        assertThat(registry.removeLapsed()).containsExactly("t");
+        assertThat(registry.removeLapsed()).extracting(RegisteredTarget::id).containsExactly("t");
         assertThat(registry.accepting("service")).isEmpty();
     }
 
@@ -85,7 +85,7 @@
         time.advanceMillis(1_900 - untilAccess);
         assertThat(registry.removeLapsed()).isEmpty();
         time.advanceMillis(200);
-        assertThat(registry.removeLapsed()).containsExactly("t");
+        assertThat(registry.removeLapsed()).extracting(RegisteredTarget::id).containsExactly("t");
     }
 
     /** The same for a target that left long before the daemon reaches the store again. */
@@ -95,7 +95,7 @@
         registry.onStoreUnavailable();
         registry.remove("t");
         time.advanceMillis(2_100);
-        assertThat(registry.removeLapsed()).containsExactly("t");
+        assertThat(registry.removeLapsed()).extracting(RegisteredTarget::id).containsExactly("t");
         assertThat(registry.accepting("service")).isEmpty();
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -278,11 +278,12 @@
 
     /** Removes targets whose registrations were not renewed within the grace period. */
     public void removeLapsedTargets() {
-        for (String id : clusterView.targets().removeLapsed()) {
-            clusterView.targetStates().remove(id);
+        for (RegisteredTarget target : clusterView.targets().removeLapsed()) {
+            clusterView.targetStates().remove(target.id());
+            targetConnections.closeIdle(target.address());
             log.write(
                     DecisionKind.TARGET_CHANGED,
-                    id,
+                    target.id(),
                     () ->
                             "registration not renewed within the grace period, now="
                                     + clock.instant(),
