Accept any page of cache events on a connection of its own

An engine whose pages never follow the position that a poller knows was rejected for ever, so that its index was never updated again.

Cause: a page was compared with the position also where it can't be a copy.

Change: after a failed call the poller reads on a connection of its own and accepts the page, as it does with the first one.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventClient.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.prefix.CachedPartEvent;
+import org.bergamothoist.gateway.client.AnswerMatch;
 
 /** Reads the events by which engines and KV cache stores report changes of their contents. */
 public interface CacheEventClient {
@@ -35,12 +36,15 @@
     record Position(long epoch, long sequence) {}
 
     /**
-     * Reads the events after a position; completes exceptionally if the call fails, or if it
-     * returns a page that does not follow the position, such as a copy of an earlier one.
+     * Reads the events after a position; completes exceptionally if the call fails, or if its page
+     * is matched by content and does not follow the position, as a copy of an earlier one.
      *
      * @param address address of the engine or store, {@code host:port}
      * @param after end of the last page, or empty to read from the first event on
+     * @param match by content on a kept connection, or by a connection of its own, on which each
+     *     page is accepted
      * @param wait maximum time that the engine or store waits for an event (long polling)
      */
-    CompletionStage<EventPage> read(String address, Optional<Position> after, Duration wait);
+    CompletionStage<EventPage> read(
+            String address, Optional<Position> after, AnswerMatch match, Duration wait);
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/CacheEventPoller.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.bergamothoist.core.time.Scheduler;
+import org.bergamothoist.gateway.client.AnswerMatch;
 
 /** Polls one engine or KV cache store for cache events. Confined to the event loop. */
 public final class CacheEventPoller {
@@ -25,6 +26,10 @@
     private final Scheduler scheduler;
     private final Observer observer;
     private Optional<CacheEventClient.Position> position = Optional.empty();
+
+    /** By connection at first and after a failure, when nothing is known to match a page with. */
+    private AnswerMatch match = AnswerMatch.byConnection();
+
     private Duration retryDelay = RETRY_DELAY;
     private boolean stopped;
 
@@ -73,13 +78,14 @@
             scheduler.schedule(RETRY_DELAY, this::poll);
             return;
         }
-        client.read(current.get(), position, LONG_POLL_WAIT)
+        client.read(current.get(), position, match, LONG_POLL_WAIT)
                 .whenComplete(
                         (page, failure) -> {
                             if (stopped) {
                                 return;
                             }
                             if (failure != null) {
+                                match = AnswerMatch.byConnection();
                                 observer.onFailure(failure);
                                 scheduler.schedule(retryDelay, this::poll);
                                 retryDelay = doubled(retryDelay);
@@ -87,6 +93,7 @@
                             }
                             retryDelay = RETRY_DELAY;
                             position = Optional.of(page.end());
+                            match = AnswerMatch.byContent();
                             observer.onEvents(current.get(), page);
                             scheduler.schedule(POLL_DELAY, this::poll);
                         });
