Reject answers whose trailers contain a status line

No answer was mixed, and nothing was counted.

Change: trailers are checked as heads are; the attempt fails at once and is counted as joined heads.

Result: StrayBytesTest and FaultyTargetTest pass; no test of its own.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -321,7 +321,12 @@
         if (relayed && content.content().isReadable()) {
             listener.onContent(content.content());
         }
-        if (!(content instanceof LastHttpContent) || state != State.BUSY) {
+        if (!(content instanceof LastHttpContent last) || state != State.BUSY) {
+            return;
+        }
+        if (JoinedHeads.isJoined(last.trailingHeaders())) {
+            recordMismatch(AnswerMismatches.Kind.JOINED_HEADS, () -> "in the trailers");
+            fail(AnswerListener.Failure.INVALID_ANSWER, "a status line in the trailers");
             return;
         }
         // The decoder takes every end of the channel for that of a body without a length.
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/JoinedHeads.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/JoinedHeads.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.client;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -19,7 +20,12 @@
     static boolean isJoined(HttpResponse head) {
         return !head.protocolVersion().protocolName().equals(PROTOCOL)
                 || containsStatusLine(head.status().reasonPhrase())
-                || head.headers().entries().stream().anyMatch(JoinedHeads::containsStatusLine);
+                || isJoined(head.headers());
+    }
+
+    /** Returns whether headers or trailers contain the status line of another answer. */
+    static boolean isJoined(HttpHeaders headers) {
+        return headers.entries().stream().anyMatch(JoinedHeads::containsStatusLine);
     }
 
     private static boolean containsStatusLine(Map.Entry<String, String> header) {
