Count rare mismatches of busy targets less, and each of them once

Found by review. Three mismatches within ten seconds cost a target its kept connections also if it had answered thousands of requests in that time. A rejected answer, which fails its attempt, counted twice as a failure of the target, so that one of them ejected it.

Change: mismatches are repeated if there is one for a hundred answers or fewer; what fails its attempt is left to the attempt.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
@@ -27,25 +27,35 @@
 
     private static final Duration REPETITION_WINDOW = Duration.ofSeconds(10);
 
+    /** Answers for each mismatch above which these are too rare to count as repeated. */
+    private static final int ANSWERS_OF_A_RARE_MISMATCH = 100;
+
     /** A way in which bytes of a peer do not match a request. */
     enum Kind {
         /** Bytes came while no answer was expected. */
-        BYTES_BEHIND_ANSWER(DecisionKind.BYTES_BEHIND_ANSWER, "connection closed"),
+        BYTES_BEHIND_ANSWER(DecisionKind.BYTES_BEHIND_ANSWER, false, "connection closed"),
         /** A whole answer names another request. */
-        OTHER_REQUEST(DecisionKind.ANSWER_TO_OTHER_REQUEST, "answer ignored"),
+        OTHER_REQUEST(DecisionKind.ANSWER_TO_OTHER_REQUEST, false, "answer ignored"),
         /** An answer that names no request came on a connection that had carried others. */
-        NO_IDENTIFIER(DecisionKind.ANSWER_WITHOUT_IDENTIFIER, "answer rejected"),
+        NO_IDENTIFIER(DecisionKind.ANSWER_WITHOUT_IDENTIFIER, true, "answer rejected"),
         /** A head contains the start of another one. */
-        JOINED_HEADS(DecisionKind.ANSWER_HEADS_JOINED, "answer rejected");
+        JOINED_HEADS(DecisionKind.ANSWER_HEADS_JOINED, true, "answer rejected");
 
         private final DecisionKind event;
+        private final boolean failsRequest;
         private final String outcome;
 
-        Kind(DecisionKind event, String outcome) {
+        Kind(DecisionKind event, boolean failsRequest, String outcome) {
             this.event = event;
+            this.failsRequest = failsRequest;
             this.outcome = outcome;
         }
 
+        /** Returns whether the request in progress fails by it. */
+        boolean failsRequest() {
+            return failsRequest;
+        }
+
         private String metric(String peer) {
             return "answer-mismatches." + peer + "." + name().toLowerCase(Locale.ROOT);
         }
@@ -67,8 +77,35 @@
     private final InstantSource clock;
     private final Map<String, PeerHistory> histories = new LinkedHashMap<>();
 
-    /** A peer and the times of its newest mismatches, {@link #REPEATED} of them at most. */
-    private record PeerHistory(String peer, Deque<Instant> newest) {}
+    /** When a mismatch was found, and after how many answers since the first one. */
+    private record Found(Instant at, long answers) {}
+
+    /** A peer and its newest mismatches, {@link #REPEATED} of them at most. */
+    private static final class PeerHistory {
+
+        private final String peer;
+        private final Deque<Found> newest = new ArrayDeque<>();
+        private long answers;
+
+        private PeerHistory(String peer) {
+            this.peer = peer;
+        }
+
+        private void add(Instant now) {
+            newest.addLast(new Found(now, answers));
+            if (newest.size() > REPEATED) {
+                newest.removeFirst();
+            }
+        }
+
+        private boolean isRepeated() {
+            Found first = newest.getFirst();
+            Found last = newest.getLast();
+            return newest.size() == REPEATED
+                    && last.at().isBefore(first.at().plus(REPETITION_WINDOW))
+                    && last.answers() - first.answers() <= REPEATED * ANSWERS_OF_A_RARE_MISMATCH;
+        }
+    }
 
     AnswerMismatches(InstantSource clock, MetricRegistry metrics, DecisionLog log) {
         this.clock = clock;
@@ -78,11 +115,8 @@
 
     /** Records a mismatch; returns whether the peer shows them again and again. */
     boolean record(Kind kind, Origin origin, Supplier<String> details) {
-        Deque<Instant> newest = history(origin).newest();
-        newest.addLast(clock.instant());
-        if (newest.size() > REPEATED) {
-            newest.removeFirst();
-        }
+        PeerHistory history = history(origin);
+        history.add(clock.instant());
         String metric = kind.metric(origin.peer());
         metrics.counter(metric).inc();
         log.write(
@@ -101,17 +135,24 @@
                                 + " count="
                                 + metrics.counter(metric).getCount(),
                 kind.outcome);
-        return newest.size() == REPEATED
-                && newest.getLast().isBefore(newest.getFirst().plus(REPETITION_WINDOW));
+        return history.isRepeated();
+    }
+
+    /** Counts an answer of a peer that matched its request. */
+    void onAnswered(String address) {
+        PeerHistory history = histories.get(address);
+        if (history != null) {
+            history.answers++;
+        }
     }
 
     private PeerHistory history(Origin origin) {
         PeerHistory before = histories.get(origin.address());
-        if (before != null && before.peer().equals(origin.peer())) {
+        if (before != null && before.peer.equals(origin.peer())) {
             return before;
         }
         forget(origin.address());
-        PeerHistory history = new PeerHistory(origin.peer(), new ArrayDeque<>());
+        PeerHistory history = new PeerHistory(origin.peer());
         histories.put(origin.address(), history);
         if (histories.size() > MAXIMUM_ADDRESSES) {
             forget(histories.keySet().iterator().next());
@@ -126,7 +167,7 @@
             return;
         }
         for (Kind kind : Kind.values()) {
-            metrics.remove(kind.metric(history.peer()));
+            metrics.remove(kind.metric(history.peer));
         }
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -342,6 +342,7 @@
         }
         endedByClose = !selfDelimited && inputEnded;
         state = State.SETTLING;
+        pool.onAnswered(address());
         AnswerListener completed = listener;
         listener = null;
         completed.onComplete();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -57,8 +57,8 @@
      * Creates an empty pool.
      *
      * @param name names the pool in metrics
-     * @param unreliablePeers is told the name of a peer for each answer that matches no request, if
-     *     the peer goes on with them on connections that are not kept
+     * @param unreliablePeers is told the name of a peer for each answer that matches no request and
+     *     fails none, if the peer goes on with them on connections that are not kept
      */
     public ConnectionPool(
             String name,
@@ -94,7 +94,7 @@
         if (!mismatches.record(kind, origin, details)) {
             return;
         }
-        if (!isKept(origin.address())) {
+        if (!kind.failsRequest() && !isKept(origin.address())) {
             unreliablePeers.accept(origin.peer());
         }
         keepNoConnections(origin.address(), clock.instant().plus(UNRELIABLE_TIME));
@@ -207,6 +207,10 @@
         }
     }
 
+    void onAnswered(String address) {
+        mismatches.onAnswered(address);
+    }
+
     void onRequestNamed(String address) {
         naming.add(address);
     }
