Probe a refused part with requests that have nothing else suspect

It crashed a target, which was the sixth loss, and from six on no probe is sent.

Change: a request is a probe only if its content and its other parts have no losses.

Result: GossipQuarantineTest.probeHasNoOtherSuspectPart failed before and passes, with the other 28 and the tests of the package.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
@@ -76,7 +76,7 @@
     public boolean tryBegin(RequestKeys keys, Set<Fingerprint> refusedFor) {
         boolean allowed =
                 refusedFor.stream().allMatch(Fingerprint::isPart)
-                        && !quarantine.isQuarantined(keys.content())
+                        && isHarmlessBut(refusedFor, keys)
                         && refusedFor.stream().noneMatch(this::hasLostTooMany)
                         && probing.getAsBoolean();
         if (!allowed) {
@@ -96,6 +96,13 @@
         return true;
     }
 
+    /** A probe with something else that may crash its target would show nothing of the part. */
+    private boolean isHarmlessBut(Set<Fingerprint> refusedFor, RequestKeys keys) {
+        return keys.all().stream()
+                .filter(key -> !refusedFor.contains(key))
+                .noneMatch(quarantine::isSuspect);
+    }
+
     private boolean hasLostTooMany(Fingerprint part) {
         return quarantine.lossCount(part) >= MAXIMUM_LOSSES;
     }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/quarantine/GossipQuarantineTest.java
@@ -484,4 +484,27 @@
         RequestKeys keys = new RequestKeys(sameContent ? CRASHING : HARMLESS, Map.of(common, "ab"));
         assertThat(probes.tryBegin(keys, Set.of(common))).isEqualTo(probed);
     }
+
+    /**
+     * Guards against a common part that stays refused, since its probe had a part that crashes
+     * targets: each loss makes the next probe less likely.
+     */
+    @Test
+    void probeHasNoOtherSuspectPart() {
+        GossipQuarantine first = daemon();
+        Fingerprint common = FingerprintCalculator.ofPart("engines", "ab");
+        Fingerprint crashing = FingerprintCalculator.ofPart("engines", "dead");
+        for (int target = 0; target < 3; target++) {
+            time.advance(Duration.ofSeconds(4));
+            lose(first, "target-" + target, common);
+        }
+        lose(first, "target-2", crashing);
+        time.advance(Duration.ofMinutes(1));
+        PartProbes probes =
+                new PartProbes(first, () -> true, time, (kind, subject, inputs, outcome) -> {});
+        Map<Fingerprint, String> parts = Map.of(common, "ab", crashing, "dead");
+        assertThat(probes.tryBegin(new RequestKeys(HARMLESS, parts), Set.of(common))).isFalse();
+        RequestKeys keys = new RequestKeys(HARMLESS, Map.of(common, "ab"));
+        assertThat(probes.tryBegin(keys, Set.of(common))).isTrue();
+    }
 }
