Name what a newcomer would not place, and log when connections are not kept

Reading the whole change: REPEATED, Found, naming and isHarmlessBut said too little, and a target lost its kept connections without a line in the log.

Change: names only, and the event connections-not-kept with the address, the reason and the time, once when it begins. No other decision differs.

AnswerCopyTest.oneAnswerWithoutIdentifierCostsOneConnection can fail: it does if one such answer costs all kept connections.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -42,6 +42,8 @@
     ANSWER_WITHOUT_IDENTIFIER,
     /** The head of an answer contained the start of another one. */
     ANSWER_HEADS_JOINED,
+    /** Connections to a peer are closed after each answer, because its answers are ambiguous. */
+    CONNECTIONS_NOT_KEPT,
     /** It was found out whether a target whose connection broke still runs. */
     TARGET_LOSS_CHECKED,
     /** A loss of a target was counted for a content that it ran. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/quarantine/PartProbes.java
@@ -76,7 +76,7 @@
     public boolean tryBegin(RequestKeys keys, Set<Fingerprint> refusedFor) {
         boolean allowed =
                 refusedFor.stream().allMatch(Fingerprint::isPart)
-                        && isHarmlessBut(refusedFor, keys)
+                        && hasNoOtherSuspect(refusedFor, keys)
                         && refusedFor.stream().noneMatch(this::hasLostTooMany)
                         && probing.getAsBoolean();
         if (!allowed) {
@@ -97,7 +97,7 @@
     }
 
     /** A probe with something else that may crash its target would show nothing of the part. */
-    private boolean isHarmlessBut(Set<Fingerprint> refusedFor, RequestKeys keys) {
+    private boolean hasNoOtherSuspect(Set<Fingerprint> refusedFor, RequestKeys keys) {
         return keys.all().stream()
                 .filter(key -> !refusedFor.contains(key))
                 .noneMatch(quarantine::isSuspect);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/AnswerMismatches.java
@@ -22,13 +22,14 @@
     /** Number of addresses whose counters are kept; those that are counted first are given up. */
     private static final int MAXIMUM_ADDRESSES = 256;
 
-    /** Number of mismatches within {@link #REPETITION_WINDOW} that are no single fault any more. */
-    private static final int REPEATED = 3;
+    /** Number of mismatches within {@link #REPETITION_WINDOW} from which they are repeated. */
+    private static final int REPEATED_MISMATCHES = 3;
 
+    /** Long enough for several requests to a target with little traffic. */
     private static final Duration REPETITION_WINDOW = Duration.ofSeconds(10);
 
     /** Answers for each mismatch above which these are too rare to count as repeated. */
-    private static final int ANSWERS_OF_A_RARE_MISMATCH = 100;
+    private static final int ANSWERS_PER_RARE_MISMATCH = 100;
 
     /** A way in which bytes of a peer do not match a request. */
     enum Kind {
@@ -78,13 +79,13 @@
     private final Map<String, PeerHistory> histories = new LinkedHashMap<>();
 
     /** When a mismatch was found, and after how many answers since the first one. */
-    private record Found(Instant at, long answers) {}
+    private record Occurrence(Instant at, long answers) {}
 
-    /** A peer and its newest mismatches, {@link #REPEATED} of them at most. */
+    /** A peer and its newest mismatches, {@link #REPEATED_MISMATCHES} of them at most. */
     private static final class PeerHistory {
 
         private final String peer;
-        private final Deque<Found> newest = new ArrayDeque<>();
+        private final Deque<Occurrence> newest = new ArrayDeque<>();
         private long answers;
 
         private PeerHistory(String peer) {
@@ -92,18 +93,19 @@
         }
 
         private void add(Instant now) {
-            newest.addLast(new Found(now, answers));
-            if (newest.size() > REPEATED) {
+            newest.addLast(new Occurrence(now, answers));
+            if (newest.size() > REPEATED_MISMATCHES) {
                 newest.removeFirst();
             }
         }
 
         private boolean isRepeated() {
-            Found first = newest.getFirst();
-            Found last = newest.getLast();
-            return newest.size() == REPEATED
+            Occurrence first = newest.getFirst();
+            Occurrence last = newest.getLast();
+            return newest.size() == REPEATED_MISMATCHES
                     && last.at().isBefore(first.at().plus(REPETITION_WINDOW))
-                    && last.answers() - first.answers() <= REPEATED * ANSWERS_OF_A_RARE_MISMATCH;
+                    && last.answers() - first.answers()
+                            <= REPEATED_MISMATCHES * ANSWERS_PER_RARE_MISMATCH;
         }
     }
 
@@ -113,7 +115,7 @@
         this.log = log;
     }
 
-    /** Records a mismatch; returns whether the peer shows them again and again. */
+    /** Records a mismatch; returns whether the peer repeats them. */
     boolean record(Kind kind, Origin origin, Supplier<String> details) {
         PeerHistory history = history(origin);
         history.add(clock.instant());
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ClientConnection.java
@@ -40,7 +40,7 @@
     /** Number of interim answers to one request; more are taken for a fault. */
     private static final int MAXIMUM_INTERIM_ANSWERS = 16;
 
-    /** Identifiers that a connection remembers; it is not used for more requests. */
+    /** Identifiers that a connection remembers, a bound on memory; it carries no more requests. */
     private static final int MAXIMUM_IDENTIFIERS = 512;
 
     private enum State {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionPool.java
@@ -23,6 +23,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 
 /** Opens connections and keeps idle ones by address. Confined to the event loop. */
@@ -35,6 +36,7 @@
     private final InstantSource clock;
     private final Settings settings;
     private final Counter opened;
+    private final DecisionLog log;
     private final AnswerMismatches mismatches;
     private long lastNumber;
     private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
@@ -42,7 +44,7 @@
     private final Consumer<String> unreliablePeers;
 
     /** Addresses whose answers have named their requests. */
-    private final Set<String> naming = new HashSet<>();
+    private final Set<String> addressesNamingRequests = new HashSet<>();
 
     /**
      * How connections are opened and kept.
@@ -72,6 +74,7 @@
         this.clock = clock;
         this.settings = settings;
         this.opened = metrics.counter("connections-opened." + name);
+        this.log = log;
         this.mismatches = new AnswerMismatches(clock, metrics, log);
         this.unreliablePeers = unreliablePeers;
     }
@@ -97,7 +100,10 @@
         if (!kind.failsRequest() && !isKept(origin.address())) {
             unreliablePeers.accept(origin.peer());
         }
-        keepNoConnections(origin.address(), clock.instant().plus(UNRELIABLE_TIME));
+        keepNoConnections(
+                origin.address(),
+                clock.instant().plus(UNRELIABLE_TIME),
+                "repeated answers that match no request");
     }
 
     private boolean isKept(String address) {
@@ -212,11 +218,11 @@
     }
 
     void onRequestNamed(String address) {
-        naming.add(address);
+        addressesNamingRequests.add(address);
     }
 
     boolean hasNamedRequests(String address) {
-        return naming.contains(address);
+        return addressesNamingRequests.contains(address);
     }
 
     /**
@@ -224,10 +230,19 @@
      * such an answer certainly is that to the request in progress.
      */
     void keepNoConnections(String address) {
-        keepNoConnections(address, Instant.MAX);
+        keepNoConnections(address, Instant.MAX, "its answers or refusals name no request");
     }
 
-    private void keepNoConnections(String address, Instant until) {
+    private void keepNoConnections(String address, Instant until, String reason) {
+        if (isKept(address)) {
+            log.write(
+                    DecisionKind.CONNECTIONS_NOT_KEPT,
+                    address,
+                    () -> reason,
+                    until.equals(Instant.MAX)
+                            ? "until the address has another owner"
+                            : "for " + UNRELIABLE_TIME.toSeconds() + " s");
+        }
         closeKept(address);
         notKeptUntil.merge(address, until, (before, now) -> now.isAfter(before) ? now : before);
     }
@@ -235,7 +250,7 @@
     /** Closes the idle connections to an address whose owner is gone. */
     public void closeIdle(String address) {
         notKeptUntil.remove(address);
-        naming.remove(address);
+        addressesNamingRequests.remove(address);
         mismatches.forget(address);
         closeKept(address);
     }
