Log and count what ends of answers by close were taken for

Change: an event answer-end-checked for each such answer, with the evidence and the wait, counters of both outcomes and a histogram of the wait. No decision changes.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerEndConfirmation.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerEndConfirmation.java
@@ -1,8 +1,11 @@
 package org.bergamothoist.gateway.caller;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.time.Scheduler;
 
@@ -20,9 +23,10 @@
     /**
      * An answer that has ended.
      *
+     * @param requestId identifier of its request
      * @param successful whether it shows that a target can run the request
      */
-    record Answer(boolean successful, Duration latencyObjective) {}
+    record Answer(String requestId, boolean successful, Duration latencyObjective) {}
 
     /**
      * Checks the target of an answer.
@@ -36,10 +40,13 @@
             BrokenRequest run,
             Answer answer,
             Consumer<Boolean> onChecked) {
+        Instant endedAt = dependencies.clock().instant();
         AtomicBoolean checked = new AtomicBoolean();
-        Consumer<Boolean> once =
-                whole -> {
+        BiConsumer<Boolean, String> once =
+                (whole, evidence) -> {
                     if (!checked.getAndSet(true)) {
+                        Duration wait = Duration.between(endedAt, dependencies.clock().instant());
+                        record(dependencies, selection, answer, whole, evidence, wait);
                         onChecked.accept(whole);
                     }
                 };
@@ -48,7 +55,7 @@
                         .scheduler()
                         .schedule(
                                 answer.latencyObjective().dividedBy(OBJECTIVE_PARTS),
-                                () -> once.accept(true));
+                                () -> once.accept(true, "time-limit"));
         dependencies
                 .crashingContents()
                 .onAnswerEndedByClose(
@@ -57,7 +64,31 @@
                         answer.successful(),
                         finding -> {
                             limit.cancel();
-                            once.accept(!finding.isEnded());
+                            once.accept(!finding.isEnded(), finding.toString());
                         });
     }
+
+    private static void record(
+            ExchangeDependencies dependencies,
+            TargetSelector.Selection selection,
+            Answer answer,
+            boolean whole,
+            String evidence,
+            Duration wait) {
+        String outcome = whole ? "whole" : "broken";
+        dependencies.metrics().countCheckedEnd(outcome, wait);
+        dependencies
+                .log()
+                .write(
+                        DecisionKind.ANSWER_END_CHECKED,
+                        answer.requestId(),
+                        () ->
+                                "target="
+                                        + selection.target().id()
+                                        + " evidence="
+                                        + evidence
+                                        + " wait="
+                                        + wait.toMillis(),
+                        outcome);
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -524,7 +524,8 @@
                 dependencies,
                 selection,
                 runSince(sentAt),
-                new AnswerEndConfirmation.Answer(successful, request.route().latencyObjective()),
+                new AnswerEndConfirmation.Answer(
+                        request.head().requestId(), successful, request.route().latencyObjective()),
                 whole -> onEndChecked(answered, whole));
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RelayMetrics.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RelayMetrics.java
@@ -10,12 +10,14 @@
     private final MetricRegistry registry;
     private final Histogram timeToFirstByte;
     private final Histogram timeToCompletion;
+    private final Histogram endCheckTime;
 
     /** Creates the metrics in a registry. */
     public RelayMetrics(MetricRegistry registry) {
         this.registry = registry;
         this.timeToFirstByte = registry.histogram("request-first-byte-milliseconds");
         this.timeToCompletion = registry.histogram("request-complete-milliseconds");
+        this.endCheckTime = registry.histogram("answer-end-check-milliseconds");
     }
 
     void countRequest() {
@@ -34,6 +36,12 @@
         registry.counter("requests-ended." + outcome).inc();
     }
 
+    /** Counts an answer that ended with its connection; the outcome says what it was taken for. */
+    void countCheckedEnd(String outcome, Duration wait) {
+        registry.counter("answer-ends." + outcome).inc();
+        endCheckTime.update(wait.toMillis());
+    }
+
     void recordTimeToFirstByte(Duration time) {
         timeToFirstByte.update(time.toMillis());
     }
