Apply a changed limit of header sections to open connections

Cause: the decoder of a connection is created with the limits that are in force when the connection is accepted, and cannot change them.

Change: HeaderLimitHandler replaces the codec between two requests, when no byte of the next one has come and the last one is answered, if the limit has changed. A request that is arriving keeps the limit with which it began.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -93,6 +93,14 @@
         server.add(this);
     }
 
+    /** Returns whether no byte of a further request has come, and the last one is answered. */
+    boolean isBetweenRequests() {
+        return requestFirstByteAt == null
+                && !receivingRequest
+                && !responsePending
+                && pipelinedMessages.isEmpty();
+    }
+
     /** Records the time of bytes from the caller, before they are decoded. */
     void onBytesReceived() {
         lastActiveAt = dependencies.clock().instant();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -3,14 +3,10 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -31,9 +27,6 @@
     /** Interval between timeout checks; short compared with the usual timeouts. */
     private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(500);
 
-    /** Maximum size of a piece of a body that the decoder passes on, in bytes. */
-    private static final int MAXIMUM_CHUNK_BYTES = 16_384;
-
     /** Maximum connections that wait to be accepted; callers may all reconnect at once. */
     private static final int BACKLOG = 1_024;
 
@@ -78,25 +71,9 @@
 
     private void configurePipeline(Channel channel) {
         CallerConnectionHandler connection = new CallerConnectionHandler(dependencies, this);
-        HttpDecoderConfig decoderConfig =
-                new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits().headerBytes())
-                        .setMaxHeaderSize(limits().headerBytes())
-                        .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
-                        .setStrictLineParsing(true)
-                        .setUseRfc9112TransferEncoding(true)
-                        .setAllowDuplicateContentLengths(false);
-        channel.pipeline()
-                .addLast(
-                        new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext context, Object bytes) {
-                                connection.onBytesReceived();
-                                context.fireChannelRead(bytes);
-                            }
-                        })
-                .addLast(new HttpServerCodec(decoderConfig))
-                .addLast(connection);
+        HeaderLimitHandler headerLimit =
+                new HeaderLimitHandler(connection, () -> limits().headerBytes());
+        channel.pipeline().addLast(headerLimit, headerLimit.codec(), connection);
     }
 
     private void scheduleTimeoutCheck() {
