Keep no memory of large heads on idle connections of callers

Cause: an idle connection kept the head of its last request, and its decoder the buffers that had grown with it; with thousands of connections the heap was exhausted, and the event loop ended with an OutOfMemoryError.

Change: between two requests a connection forgets the head, and after a request of 2 KB or more its codec is replaced.

Evidence: HeaderLimitTest.idleConnectionsDoNotKeepTheMemoryOfLargeHeads, 14 KB a head, found 23,022 bytes a connection before; less than 8,192 now. Open: the process still goes on without its event loop if memory runs out for another reason.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -342,7 +342,7 @@
         }
         if (!receivingRequest) {
             // Deferred so that the target's connection returns to its pool before the next request.
-            channel.eventLoop().execute(this::processPipelinedMessages);
+            channel.eventLoop().execute(this::startNextRequest);
         }
     }
 
@@ -354,6 +354,14 @@
         }
     }
 
+    private void startNextRequest() {
+        processPipelinedMessages();
+        if (isBetweenRequests() && channel.isActive()) {
+            request = null;
+            channel.pipeline().get(HeaderLimitHandler.class).releaseBuffers(channel.pipeline());
+        }
+    }
+
     /** Processes messages that arrived while the last response was in progress. */
     private void processPipelinedMessages() {
         if (responsePending || receivingRequest) {
