Log how targets are asked whether they live on

Cause: that a spare connection could not be opened, and what a liveness check came to, left no line of its own.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -46,6 +46,8 @@
     CONNECTIONS_NOT_KEPT,
     /** It was found out whether a target whose connection broke still runs. */
     TARGET_LOSS_CHECKED,
+    /** A target was asked, or could not be asked, whether its process lives on. */
+    LIVENESS_CHECKED,
     /** It was decided whether an answer is whole whose end only that of its connection shows. */
     ANSWER_END_CHECKED,
     /** A loss of a target was counted for a content that it ran. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionLivenessChecker.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/client/ConnectionLivenessChecker.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.bergamothoist.core.decision.DecisionKind;
+import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.fleet.RegisteredTarget;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.quarantine.LivenessChecker;
@@ -43,6 +45,7 @@
     private final Predicate<TargetIncarnation> registered;
     private final Scheduler scheduler;
     private final Counter asked;
+    private final DecisionLog log;
     private final Map<TargetIncarnation, Watch> watches = new HashMap<>();
 
     /**
@@ -55,12 +58,14 @@
             WireDialect dialect,
             Predicate<TargetIncarnation> registered,
             Scheduler scheduler,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            DecisionLog log) {
         this.pool = pool;
         this.dialect = dialect;
         this.registered = registered;
         this.scheduler = scheduler;
         this.asked = metrics.counter("liveness-checks");
+        this.log = log;
     }
 
     /** Notes that a request is about to be sent to a target. */
@@ -96,6 +101,14 @@
                                         && !registered.test(entry.getKey()));
     }
 
+    private void log(RegisteredTarget target, String inputs, String outcome) {
+        log.write(
+                DecisionKind.LIVENESS_CHECKED,
+                target.id(),
+                () -> "address=" + target.address() + " " + inputs,
+                outcome);
+    }
+
     private Watch watch(RegisteredTarget target) {
         return watches.computeIfAbsent(target.incarnation(), incarnation -> new Watch(target));
     }
@@ -140,10 +153,12 @@
                     destination(),
                     (connection, failure) -> {
                         opening = false;
-                        if (connection != null) {
-                            spare = Optional.of(connection);
-                            connection.onClosed(() -> onClosed(connection));
+                        if (connection == null) {
+                            log(target, "" + failure, "no spare connection");
+                            return;
                         }
+                        spare = Optional.of(connection);
+                        connection.onClosed(() -> onClosed(connection));
                     });
         }
 
@@ -182,6 +197,7 @@
 
         private void ask(ClientConnection connection, Consumer<Result> receiver) {
             if (!connection.isIdle()) {
+                log(target, "spare connection closed", Result.ENDED.toString());
                 receiver.accept(Result.ENDED);
                 return;
             }
@@ -201,10 +217,10 @@
                     destination(),
                     (connection, failure) -> {
                         if (connection == null) {
-                            receiver.accept(
-                                    ConnectionPool.isRefused(failure)
-                                            ? Result.ENDED
-                                            : Result.UNKNOWN);
+                            boolean refused = ConnectionPool.isRefused(failure);
+                            Result result = refused ? Result.ENDED : Result.UNKNOWN;
+                            log(target, "" + failure, result.toString());
+                            receiver.accept(result);
                             return;
                         }
                         new Question(target, false, receiver).send(connection);
@@ -236,7 +252,9 @@
         private void send(ClientConnection opened) {
             connection = opened;
             asked.inc();
-            timer = scheduler.schedule(ANSWER_TIMEOUT, () -> finish(Result.UNKNOWN));
+            timer =
+                    scheduler.schedule(
+                            ANSWER_TIMEOUT, () -> finish(Result.UNKNOWN, "no answer in time"));
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
             head.headers().set(HttpHeaderNames.HOST, target.address());
             String id = Long.toHexString(ThreadLocalRandom.current().nextLong());
@@ -247,10 +265,12 @@
         @Override
         public boolean onHead(HttpResponse head) {
             Optional<String> instance = dialect.readResponse(head).respondingInstance();
+            String detail = "status=" + head.status().code() + " instance=" + instance.orElse("");
             if (instance.isEmpty()) {
-                finish(openBefore ? Result.ALIVE : Result.UNKNOWN);
+                finish(openBefore ? Result.ALIVE : Result.UNKNOWN, detail);
             } else {
-                finish(instance.get().equals(target.id()) ? Result.ALIVE : Result.ENDED);
+                boolean named = instance.get().equals(target.id());
+                finish(named ? Result.ALIVE : Result.ENDED, detail);
             }
             return true;
         }
@@ -268,16 +288,17 @@
         @Override
         public void onFailure(Failure failure, String detail) {
             boolean ended = openBefore && failure == Failure.CONNECTION_LOST;
-            finish(ended ? Result.ENDED : Result.UNKNOWN);
+            finish(ended ? Result.ENDED : Result.UNKNOWN, failure + " " + detail);
         }
 
-        private void finish(Result result) {
+        private void finish(Result result, String detail) {
             if (done) {
                 return;
             }
             done = true;
             timer.cancel();
             connection.abort();
+            log(target, (openBefore ? "spare " : "new ") + detail, result.toString());
             receiver.accept(result);
         }
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
@@ -66,7 +66,7 @@
         this.quarantine = new GossipQuarantine(clock, new ChangeListener(), log);
         this.liveness =
                 new ConnectionLivenessChecker(
-                        targetConnections, dialect, this::isRegistered, scheduler, metrics);
+                        targetConnections, dialect, this::isRegistered, scheduler, metrics, log);
         this.losses =
                 new TargetLossDetector(
                         (address, receiver) -> probe(targetConnections, address, receiver),
