--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -358,7 +358,7 @@
         processPipelinedMessages();
         if (isBetweenRequests() && channel.isActive()) {
             request = null;
-            channel.pipeline().get(HeaderLimitHandler.class).releaseBuffers(channel.pipeline());
+            channel.pipeline().get(CodecRenewer.class).releaseBuffers(channel.pipeline());
         }
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -71,9 +71,8 @@
 
     private void configurePipeline(Channel channel) {
         CallerConnectionHandler connection = new CallerConnectionHandler(dependencies, this);
-        HeaderLimitHandler headerLimit =
-                new HeaderLimitHandler(connection, () -> limits().headerBytes());
-        channel.pipeline().addLast(headerLimit, headerLimit.codec(), connection);
+        CodecRenewer renewer = new CodecRenewer(connection, () -> limits().headerBytes());
+        channel.pipeline().addLast(renewer, renewer.codec(), connection);
     }
 
     private void scheduleTimeoutCheck() {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/HeaderLimitHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CodecRenewer.java
@@ -9,11 +9,11 @@
 import java.util.function.IntSupplier;
 
 /**
- * Gives a connection the limit of header sections that is in force when a request begins, and keeps
- * no memory of large ones while it is idle. A codec can neither change its limit nor shrink its
- * buffers, so that it is replaced between two requests.
+ * Renews the codec of a caller's connection between two requests: if the limit of header sections
+ * has changed, and after a large request, since a codec can neither change its limit nor shrink its
+ * buffers.
  */
-final class HeaderLimitHandler extends ChannelInboundHandlerAdapter {
+final class CodecRenewer extends ChannelInboundHandlerAdapter {
 
     /** Maximum size of a piece of a body that the decoder passes on, in bytes. */
     private static final int MAXIMUM_CHUNK_BYTES = 16_384;
@@ -35,7 +35,7 @@
      *
      * @param limit returns the limit in force, in bytes
      */
-    HeaderLimitHandler(CallerConnectionHandler connection, IntSupplier limit) {
+    CodecRenewer(CallerConnectionHandler connection, IntSupplier limit) {
         this.connection = connection;
         this.limit = limit;
         this.headerBytes = limit.getAsInt();
