Log the store's era, offsets and ends that tell the hypotheses apart

Cause: logs had neither the offsets of configurations and lease records, nor the ends that the store states, nor its era. Change: every answer of the store passes through StoreEra, which logs a later Store-Era and an end below one seen before (store-fell-back); gauges store-era and store-fallbacks; configuration-accepted has the offset, lease-changed the end that the append's answer states. No decision depends on it yet.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -18,6 +18,8 @@
     DEPENDENCY_LOST,
     /** An external system can be reached again. */
     DEPENDENCY_REGAINED,
+    /** The platform's store came back from an older copy, so that offsets are given out again. */
+    STORE_FELL_BACK,
     /** A new version of the configuration took effect. */
     CONFIGURATION_ACCEPTED,
     /** A target was added, changed its state or was removed. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -242,7 +242,10 @@
         renewedAt = sentAt;
         if (!renewal) {
             log.write(
-                    DecisionKind.LEASE_CHANGED, NAME, () -> "fencing=" + fencingNumber, "acquired");
+                    DecisionKind.LEASE_CHANGED,
+                    NAME,
+                    () -> "fencing=" + fencingNumber + " end=" + newEnd,
+                    "acquired");
         }
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.feed.FeedFreshness;
+import org.bergamothoist.core.feed.StoreEra;
 import org.bergamothoist.core.fleet.CrossingRule;
 import org.bergamothoist.core.fleet.TargetIncarnation;
 import org.bergamothoist.core.fleet.TargetState;
@@ -107,6 +108,7 @@
     private final OrganisationQuotas quotas;
     private final PauseDetector pauses;
     private final FeedFreshness operatorFreshness;
+    private final StoreEra storeEra;
     private final PlatformAdapter.Store store;
     private final ContentQuarantine quarantine;
     private final Instant createdAt;
@@ -160,7 +162,10 @@
         ConnectionPool targets =
                 pools.targets(clusterView.targetStates(), crossing::recordConnectTime);
         HttpCaller controlCaller = new HttpCaller(pools.control(), eventLoop, heldBytes);
-        this.store = platform.store(settings.store(), controlCaller);
+        this.storeEra = new StoreEra(log);
+        this.store = platform.store(settings.store(), controlCaller, storeEra);
+        metrics.gauge("store-era", () -> storeEra::current);
+        metrics.gauge("store-fallbacks", () -> storeEra::fallbacks);
         this.quarantine = createQuarantine(targets, platform.dialect());
         this.updater = createUpdater(platform, targets);
         this.feeds = createFeeds(controlCaller);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlatformAdapter.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlatformAdapter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.bergamothoist.core.feed.FeedSource;
+import org.bergamothoist.core.feed.StoreEra;
 import org.bergamothoist.core.lease.LeaseTopic;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.gateway.client.HttpCaller;
@@ -23,8 +24,12 @@
     /** Returns the reader of the store's records. */
     RecordDecoder decoder();
 
-    /** Opens the store at an address. */
-    Store store(String address, HttpCaller caller);
+    /**
+     * Opens the store at an address.
+     *
+     * @param era to be told of every answer
+     */
+    Store store(String address, HttpCaller caller, StoreEra era);
 
     /** Returns the way to order engines. */
     EngineOrderClient engineOrders(HttpCaller caller);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -151,7 +151,8 @@
         try {
             decoder.configuration(value)
                     .ifPresentOrElse(
-                            this::acceptConfiguration, () -> logUnreadable(Feed.OPERATOR, record));
+                            configuration -> acceptConfiguration(configuration, record),
+                            () -> logUnreadable(Feed.OPERATOR, record));
         } catch (GatewayException exception) {
             log.write(
                     DecisionKind.RECORD_IGNORED,
@@ -161,13 +162,19 @@
         }
     }
 
-    private void acceptConfiguration(RouteConfiguration configuration) {
+    private void acceptConfiguration(RouteConfiguration configuration, FeedRecord record) {
         long before = clusterView.configuration().version();
         if (clusterView.configuration().updateIfNewer(configuration)) {
             log.write(
                     DecisionKind.CONFIGURATION_ACCEPTED,
                     "configuration",
-                    () -> "before=" + before + " routes=" + configuration.routes().size(),
+                    () ->
+                            "before="
+                                    + before
+                                    + " offset="
+                                    + record.offset()
+                                    + " routes="
+                                    + configuration.routes().size(),
                     "version " + configuration.version());
         }
     }
