Order records by era before offset, and read feeds anew when the store falls back

Cause: reads went on from an offset of the earlier era, and the replica passed over records whose offset is below that of the known one. What is known is retained until a record that does not state an earlier state replaces it; registrations that the copy lacks have the grace period.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedFollower.java
@@ -36,6 +36,10 @@
     private boolean suspended;
     private boolean lastPageHadRecords;
     private boolean unavailabilityReported;
+    private boolean started;
+
+    /** Number of restarts; calls that were made before the last one are ignored. */
+    private long restarts;
 
     /**
      * How a feed is polled.
@@ -130,9 +134,21 @@
 
     /** Starts following the feed. */
     public void start() {
+        started = true;
         list();
     }
 
+    /**
+     * Lists the feed again at once, because offsets of the store are given out again. Calls in
+     * progress are ignored. If reads are suspended, they begin with a listing anyway.
+     */
+    public void restart() {
+        if (started && !suspended) {
+            restarts++;
+            list();
+        }
+    }
+
     /** Returns whether the last call succeeded. */
     public boolean isReachable() {
         return reachable;
@@ -162,17 +178,21 @@
 
     private void list() {
         Instant sentAt = clock.instant();
+        long restartsBefore = restarts;
         source.list(feed)
                 .whenComplete(
                         (listing, failure) -> {
+                            if (restarts != restartsBefore) {
+                                return;
+                            }
                             if (failure != null) {
                                 retryLater(failure, this::list);
                                 return;
                             }
                             onSuccess();
-                            nextOffset = listing.end();
+                            nextOffset = listing.end().offset();
                             observer.onListing(feed, listing, sentAt);
-                            scheduler.schedule(poll.get().pause(), this::readIfWanted);
+                            schedule(poll.get().pause(), this::readIfWanted);
                         });
     }
 
@@ -181,9 +201,13 @@
         PollSettings settings = poll.get();
         Duration maximumWait =
                 lastPageHadRecords ? settings.maximumWaitAfterRecords() : settings.maximumWait();
+        long restartsBefore = restarts;
         source.read(feed, nextOffset, maximumWait)
                 .whenComplete(
                         (page, failure) -> {
+                            if (restarts != restartsBefore) {
+                                return;
+                            }
                             if (unwrap(failure) instanceof ExpiredOffsetException) {
                                 list();
                                 return;
@@ -193,10 +217,10 @@
                                 return;
                             }
                             onSuccess();
-                            nextOffset = page.next();
+                            nextOffset = page.next().offset();
                             lastPageHadRecords = !page.records().isEmpty();
                             observer.onPage(feed, page, completeUntil(page, sentAt, maximumWait));
-                            scheduler.schedule(poll.get().pause(), this::readIfWanted);
+                            schedule(poll.get().pause(), this::readIfWanted);
                         });
     }
 
@@ -235,6 +259,18 @@
             observer.onUnavailable(feed, failure);
         }
         Duration half = MAXIMUM_RETRY_PAUSE.dividedBy(2);
-        scheduler.schedule(Jitter.delay(half, half, random), call);
+        schedule(Jitter.delay(half, half, random), call);
+    }
+
+    /** Schedules a call, which is not made if the feed is restarted before. */
+    private void schedule(Duration delay, Runnable call) {
+        long restartsBefore = restarts;
+        scheduler.schedule(
+                delay,
+                () -> {
+                    if (restarts == restartsBefore) {
+                        call.run();
+                    }
+                });
     }
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
@@ -14,8 +14,12 @@
  * A replica of the feeds: keeps the newest known record of each key and notifies a listener of
  * changes. Confined to the control thread.
  *
- * <p>A record is only applied if its offset is above that of the known record of its key, so that
+ * <p>A record is only applied if its position is after that of the known record of its key, so that
  * neither a delayed page nor an outdated replica of another daemon can undo a newer record.
+ *
+ * <p>When the store comes back from an older copy, what is known precedes all positions of the new
+ * era. It is kept until a record that does not state an earlier state replaces it: the copy may
+ * contain older records, or none at all.
  */
 public final class FeedMirror {
 
@@ -25,25 +29,34 @@
      */
     private static final int TOMBSTONE_EVICTION_THRESHOLD = 2_000;
 
+    /**
+     * Offset of records that were known before the store fell back; an empty listing ends at -1.
+     */
+    private static final long RETAINED_OFFSET = -2;
+
+    /** Offset of a position that precedes all records, retained ones included. */
+    private static final long INITIAL_OFFSET = RETAINED_OFFSET - 1;
+
     private final FeedListener listener;
     private final Map<Feed, Map<String, KnownRecord>> recordsByFeed = new EnumMap<>(Feed.class);
-    private final Map<Feed, Long> positions = new EnumMap<>(Feed.class);
+    private final Map<Feed, LogPosition> positions = new EnumMap<>(Feed.class);
 
     /** Creates an empty replica. */
     public FeedMirror(FeedListener listener) {
         this.listener = listener;
         for (Feed feed : Feed.values()) {
             recordsByFeed.put(feed, new LinkedHashMap<>());
-            positions.put(feed, -1L);
+            positions.put(feed, new LogPosition(0, INITIAL_OFFSET));
         }
     }
 
     /**
      * The newest known record of a key.
      *
-     * @param changedAt offset since which the key's records only renew their content
+     * @param changedAt position since which the key's records only renew their content
+     * @param retained whether the record is of an era in which the store has lost it, or may have
      */
-    private record KnownRecord(FeedRecord record, long changedAt) {}
+    private record KnownRecord(FeedRecord record, LogPosition changedAt, boolean retained) {}
 
     /** Receives changes of the replica. */
     @FunctionalInterface
@@ -59,6 +72,33 @@
         default boolean isRenewal(Feed feed, FeedRecord before, FeedRecord record) {
             return false;
         }
+
+        /**
+         * Returns whether a record states an earlier state of its key than another one, whatever
+         * their positions. Used where the store may have lost the other one.
+         */
+        default boolean isEarlierState(Feed feed, FeedRecord record, FeedRecord other) {
+            return false;
+        }
+    }
+
+    /**
+     * Continues with a feed of which the store may have lost the newest records, from an offset on
+     * that is given out again. All that is known is retained.
+     *
+     * @param era era of the records that follow
+     */
+    public void restart(Feed feed, long era) {
+        LogPosition position = new LogPosition(era, RETAINED_OFFSET);
+        recordsByFeed
+                .get(feed)
+                .replaceAll(
+                        (key, known) ->
+                                new KnownRecord(
+                                        new FeedRecord(key, position, known.record().value()),
+                                        position,
+                                        true));
+        positions.put(feed, new LogPosition(era, INITIAL_OFFSET));
     }
 
     /** Applies records that are newer than the known ones of their keys. */
@@ -69,21 +109,48 @@
     /** Applies a page that continues the last listing or page. */
     public void apply(Feed feed, FeedSource.Page page) {
         page.records().forEach(record -> apply(feed, record, true));
-        advance(feed, page.next() - 1);
+        advance(feed, page.next().previous());
     }
 
     /**
-     * Applies the records that a replica of another daemon has after {@link #position}.
+     * Applies the records that a replica of another daemon has after {@link #position}. Records of
+     * an earlier era only count if they state a later state than the known ones.
      *
-     * @param position offset up to which that replica has all records
+     * @param position position up to which that replica has all records, or empty if unknown
+     */
+    public void applyRelayed(
+            Feed feed, Collection<FeedRecord> records, Optional<LogPosition> position) {
+        long era = position(feed).era();
+        position.map(LogPosition::era)
+                .filter(relayedEra -> relayedEra > era)
+                .ifPresent(laterEra -> restart(feed, laterEra));
+        records.forEach(record -> applyRelayed(feed, record));
+        position.ifPresent(known -> advance(feed, known));
+    }
+
+    private void applyRelayed(Feed feed, FeedRecord record) {
+        KnownRecord before = recordsByFeed.get(feed).get(record.key());
+        if (before == null || record.position().isAfter(before.record().position())) {
+            apply(feed, record, false);
+        } else if (isWithdrawn(before.record(), record)
+                || listener.isEarlierState(feed, before.record(), record)) {
+            LogPosition position = before.record().position();
+            accept(feed, new FeedRecord(record.key(), position, record.value()), position, true);
+        }
+    }
+
+    /**
+     * Returns whether another replica knows that the key was deleted although the store has this
+     * record: it comes from an older copy.
      */
-    public void applyRelayed(Feed feed, Collection<FeedRecord> records, long position) {
-        apply(feed, records);
-        advance(feed, position);
+    private static boolean isWithdrawn(FeedRecord record, FeedRecord relayed) {
+        return relayed.value().isEmpty()
+                && record.value().isPresent()
+                && record.position().equals(relayed.position());
     }
 
-    private void advance(Feed feed, long position) {
-        positions.merge(feed, position, Math::max);
+    private void advance(Feed feed, LogPosition position) {
+        positions.merge(feed, position, (before, after) -> after.isAfter(before) ? after : before);
     }
 
     /**
@@ -92,17 +159,32 @@
      * @param continuous whether this replica has seen all records of the key since the known one
      */
     private void apply(Feed feed, FeedRecord record, boolean continuous) {
-        Map<String, KnownRecord> known = recordsByFeed.get(feed);
-        KnownRecord before = known.get(record.key());
-        if (before != null && before.record().offset() >= record.offset()) {
+        KnownRecord before = recordsByFeed.get(feed).get(record.key());
+        if (before == null) {
+            accept(feed, record, record.position(), false);
+            return;
+        }
+        if (!record.position().isAfter(before.record().position())) {
             return;
         }
-        boolean renewal =
-                continuous && before != null && listener.isRenewal(feed, before.record(), record);
+        if (before.retained() && listener.isEarlierState(feed, record, before.record())) {
+            retain(feed, before.record(), record.position());
+            return;
+        }
+        boolean renewal = continuous && listener.isRenewal(feed, before.record(), record);
+        accept(feed, record, renewal ? before.changedAt() : record.position(), false);
+    }
+
+    /** Keeps what is known although a record of an earlier state has a later position. */
+    private void retain(Feed feed, FeedRecord known, LogPosition position) {
+        FeedRecord moved = new FeedRecord(known.key(), position, known.value());
+        recordsByFeed.get(feed).put(known.key(), new KnownRecord(moved, position, true));
+    }
+
+    private void accept(Feed feed, FeedRecord record, LogPosition changedAt, boolean retained) {
+        Map<String, KnownRecord> known = recordsByFeed.get(feed);
         known.remove(record.key());
-        known.put(
-                record.key(),
-                new KnownRecord(record, renewal ? before.changedAt() : record.offset()));
+        known.put(record.key(), new KnownRecord(record, changedAt, retained));
         evictOldestTombstone(known);
         listener.onRecord(feed, record);
     }
@@ -120,7 +202,8 @@
 
     /**
      * Applies a listing. Known keys that it does not contain are deleted if their records are older
-     * than its end.
+     * than its end. What was retained is only deleted from the targets' feed: targets write again
+     * what the store has lost, and one that does not is gone.
      */
     public void apply(Feed feed, FeedSource.Listing listing) {
         apply(feed, listing.records());
@@ -128,34 +211,38 @@
         listing.records().forEach(record -> listed.add(record.key()));
         List<FeedRecord> tombstones =
                 recordsByFeed.get(feed).values().stream()
+                        .filter(known -> !known.retained() || feed == Feed.TARGETS)
                         .map(KnownRecord::record)
                         .filter(record -> record.value().isPresent())
-                        .filter(record -> record.offset() < listing.end())
+                        .filter(record -> listing.end().isAfter(record.position()))
                         .filter(record -> !listed.contains(record.key()))
                         .map(record -> tombstone(record, listing.end()))
                         .toList();
         apply(feed, tombstones);
-        advance(feed, listing.end() - 1);
+        advance(feed, listing.end().previous());
     }
 
-    private static FeedRecord tombstone(FeedRecord record, long end) {
+    private static FeedRecord tombstone(FeedRecord record, LogPosition end) {
+        LogPosition position = end.previous();
         return new FeedRecord(
-                record.key(), Math.max(record.offset() + 1, end - 1), Optional.empty());
+                record.key(),
+                position.isAfter(record.position()) ? position : record.position().next(),
+                Optional.empty());
     }
 
-    /** Returns the offset up to which all records of a feed are known, or -1 if none is. */
-    public long position(Feed feed) {
+    /** Returns the position up to which all records of a feed are known. */
+    public LogPosition position(Feed feed) {
         return positions.get(feed);
     }
 
     /**
-     * Returns the newest record of each key that has changed after the offset; records that only
+     * Returns the newest record of each key that has changed after the position; records that only
      * renew what a key's record said up to there are left out.
      */
-    public List<FeedRecord> recordsAfter(Feed feed, long offset) {
+    public List<FeedRecord> recordsAfter(Feed feed, LogPosition position) {
         return new ArrayList<>(
                 recordsByFeed.get(feed).values().stream()
-                        .filter(known -> known.changedAt() > offset)
+                        .filter(known -> known.changedAt().isAfter(position))
                         .map(KnownRecord::record)
                         .toList());
     }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,8 +25,12 @@
      */
     public static final Duration RENEWAL_GRACE = Duration.ofSeconds(2);
 
+    /** Maximum number of targets whose end is remembered; the oldest are forgotten. */
+    private static final int MAXIMUM_ENDED = 2_000;
+
     private final InstantSource clock;
     private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<String, Entry> ended = new LinkedHashMap<>();
     private boolean storeUnavailable;
     private Instant storeAvailableAt = Instant.EPOCH;
 
@@ -98,10 +103,38 @@
             known.inUseUntil = storeUnavailable ? clock.instant().plus(RENEWAL_GRACE) : Instant.MAX;
             return Change.LAPSED;
         }
-        entries.remove(id);
+        end(id);
         return Change.REMOVED;
     }
 
+    private void end(String id) {
+        ended.remove(id);
+        ended.put(id, entries.remove(id));
+        if (ended.size() > MAXIMUM_ENDED) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Returns whether a registration was already known when the target's registration ended, so
+     * that it is no sign that the target is back.
+     */
+    public boolean hasEnded(RegisteredTarget target, long reportNumber) {
+        Entry last = ended.get(target.id());
+        if (last == null) {
+            return false;
+        }
+        int order = order(target, reportNumber, last.target, last.reportNumber);
+        return order <= 0;
+    }
+
+    /** Compares two registrations of a target: those of a later start or report are greater. */
+    public static int order(
+            RegisteredTarget target, long reportNumber, RegisteredTarget other, long otherNumber) {
+        int byStart = target.incarnation().startedAt().compareTo(other.incarnation().startedAt());
+        return byStart != 0 ? byStart : Long.compare(reportNumber, otherNumber);
+    }
+
     /** Returns whether a registration may have ended only because it could not be renewed. */
     public boolean mayHaveLapsed() {
         return storeUnavailable || clock.instant().isBefore(storeAvailableAt.plus(RENEWAL_GRACE));
@@ -120,6 +153,14 @@
         }
     }
 
+    /**
+     * Records that the store has come back from an older copy. Registrations that it lacks may be
+     * missing only because they were lost; live targets write them again within the grace period.
+     */
+    public void onStoreFallback() {
+        storeAvailableAt = clock.instant();
+    }
+
     /** Removes lapsed registrations whose grace period is over; returns their targets. */
     public List<RegisteredTarget> removeLapsed() {
         Instant now = clock.instant();
@@ -130,7 +171,7 @@
                         .filter(entry -> gracePeriodOver || !now.isBefore(entry.inUseUntil))
                         .map(entry -> entry.target)
                         .toList();
-        removed.forEach(target -> entries.remove(target.id()));
+        removed.forEach(target -> end(target.id()));
         return removed;
     }
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
@@ -13,8 +13,15 @@
      * The newest record of the log and the offset of its end.
      *
      * @param end offset of the next record to be appended
+     * @param era era of the store in which it was read; 0 if the store announces none
      */
-    record Tail(Optional<Holding> newest, long end) {}
+    record Tail(Optional<Holding> newest, long end, long era) {
+
+        /** Creates the tail of a log in a store that announces no era. */
+        public Tail(Optional<Holding> newest, long end) {
+            this(newest, end, 0);
+        }
+    }
 
     /**
      * A record of the log: a daemon acquires or renews the lease.
@@ -45,7 +52,9 @@
      * Appends a record if the log still ends at the given offset (compare-and-append).
      *
      * @return the new end, or empty if the log has another end; if it completes exceptionally, the
-     *     record may or may not have been appended, or may be appended later
+     *     record may or may not have been appended, or may be appended later. It completes
+     *     exceptionally too if the store has fallen back since the call was sent, since the log may
+     *     have had that end again by chance.
      */
     CompletionStage<OptionalLong> append(Holding holding, long end);
 }
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -236,7 +236,7 @@
     }
 
     private void confirm(LeaseTopic.Holding holding, long newEnd, Instant sentAt, boolean renewal) {
-        tail = new LeaseTopic.Tail(Optional.of(holding), newEnd);
+        tail = new LeaseTopic.Tail(Optional.of(holding), newEnd, tail.era());
         tailUnchangedSince = sentAt;
         fencingNumber = holding.fencingNumber();
         renewedAt = sentAt;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
@@ -53,7 +53,7 @@
 
     @Override
     public void onListing(Feed feed, Listing listing, Instant completeUntil) {
-        notifications.add("listing " + listing.end());
+        notifications.add("listing " + listing.end().offset());
     }
 
     @Override
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorTest.java
@@ -49,7 +49,7 @@
         mirror.apply(Feed.TARGETS, List.of(put("a", 3), put("b", 4)));
         mirror.apply(Feed.TARGETS, new FeedSource.Listing(List.of(put("b", 4)), 9));
         assertThat(changes).containsExactly("a@3", "b@4", "a@8");
-        assertThat(mirror.recordsAfter(Feed.TARGETS, 4))
+        assertThat(mirror.recordsAfter(Feed.TARGETS, new LogPosition(0, 4)))
                 .singleElement()
                 .matches(r -> r.value().isEmpty());
     }
@@ -65,11 +65,11 @@
     void returnsRecordsAboveAnOffset() {
         List<FeedRecord> records = List.of(put("a", 1), put("b", 2), put("c", 3));
         mirror.apply(Feed.OPERATOR, new FeedSource.Page(records, 4));
-        assertThat(mirror.recordsAfter(Feed.OPERATOR, 1))
+        assertThat(mirror.recordsAfter(Feed.OPERATOR, new LogPosition(0, 1)))
                 .extracting(FeedRecord::key)
                 .containsExactly("b", "c");
-        assertThat(mirror.position(Feed.OPERATOR)).isEqualTo(3);
-        assertThat(mirror.position(Feed.TARGETS)).isEqualTo(-1);
+        assertThat(mirror.position(Feed.OPERATOR)).isEqualTo(new LogPosition(0, 3));
+        assertThat(mirror.position(Feed.TARGETS).offset()).isNegative();
     }
 
     /**
@@ -95,7 +95,7 @@
             renewing.apply(Feed.TARGETS, new FeedSource.Listing(List.of(put("a", 6)), 7));
         }
         renewing.apply(Feed.TARGETS, new FeedSource.Page(List.of(put("a", 7)), 8));
-        assertThat(renewing.recordsAfter(Feed.TARGETS, 3)).hasSize(expected);
-        assertThat(renewing.position(Feed.TARGETS)).isEqualTo(7);
+        assertThat(renewing.recordsAfter(Feed.TARGETS, new LogPosition(0, 3))).hasSize(expected);
+        assertThat(renewing.position(Feed.TARGETS)).isEqualTo(new LogPosition(0, 7));
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -166,6 +166,7 @@
         this.store = platform.store(settings.store(), controlCaller, storeEra);
         metrics.gauge("store-era", () -> storeEra::current);
         metrics.gauge("store-fallbacks", () -> storeEra::fallbacks);
+        metrics.gauge("store-answers-dropped", () -> storeEra::droppedAnswers);
         this.quarantine = createQuarantine(targets, platform.dialect());
         this.updater = createUpdater(platform, targets);
         this.feeds = createFeeds(controlCaller);
@@ -378,6 +379,7 @@
                         peers.listen(ConnectionPool.socketAddress(settings.peers())),
                         metricsServer.listen(ConnectionPool.socketAddress(settings.metrics())),
                         reports.open(ConnectionPool.socketAddress(settings.peers())));
+        storeEra.addListener((before, after) -> feeds.onStoreFallback(after));
         bound.forEach(
                 future ->
                         future.addListener(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -199,6 +199,23 @@
         check();
     }
 
+    /**
+     * Reads all feeds anew, because the store has come back from an older copy. What is known stays
+     * in force.
+     *
+     * @param era era from now on
+     */
+    void onStoreFallback(long era) {
+        clusterView.targets().onStoreFallback();
+        for (Feed feed : Feed.values()) {
+            feeds.mirror().restart(feed, era);
+            feeds.freshness(feed).ifPresent(FeedFreshness::recordFailure);
+        }
+        operatorFeed.restart();
+        targetsFeed.restart();
+        daemonsFeed.restart();
+    }
+
     /** Starts to read other daemons' addresses. */
     void startDaemons() {
         daemonsFeed.start();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/GossipMessageCodec.java
@@ -5,9 +5,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.feed.FeedRecord;
+import org.bergamothoist.core.feed.LogPosition;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.quarantine.Fingerprint;
@@ -226,16 +226,18 @@
     }
 
     /**
-     * Request for the records after the given offsets of the feeds.
+     * Request for the records after the given positions of the feeds.
      *
      * @param versionDatesKnown whether the response need not contain ages of weight versions
      */
-    record RelayRequest(long operatorOffset, long targetsOffset, boolean versionDatesKnown) {}
+    record RelayRequest(LogPosition operators, LogPosition targets, boolean versionDatesKnown) {}
 
     static byte[] encode(RelayRequest request) {
         return GatewayMessages.RelayQuestion.newBuilder()
-                .setOperatorOffset(request.operatorOffset())
-                .setTargetsOffset(request.targetsOffset())
+                .setOperatorEra(request.operators().era())
+                .setOperatorOffset(request.operators().offset())
+                .setTargetsEra(request.targets().era())
+                .setTargetsOffset(request.targets().offset())
                 .setVersionDatesKnown(request.versionDatesKnown())
                 .build()
                 .toByteArray();
@@ -246,8 +248,8 @@
         try {
             var request = GatewayMessages.RelayQuestion.parseFrom(bytes);
             return new RelayRequest(
-                    request.getOperatorOffset(),
-                    request.getTargetsOffset(),
+                    new LogPosition(request.getOperatorEra(), request.getOperatorOffset()),
+                    new LogPosition(request.getTargetsEra(), request.getTargetsOffset()),
                     request.getVersionDatesKnown());
         } catch (InvalidProtocolBufferException exception) {
             throw malformed(exception);
@@ -262,15 +264,17 @@
     record WeightVersionAge(String model, int version, Duration age) {}
 
     /**
-     * Records of a feed after the requested offset.
+     * Records of a feed after the requested position, all of one era.
      *
      * @param age time since when records may be missing; empty if unknown
-     * @param position offset up to which the responding daemon knows all records; empty if unknown
+     * @param position position up to which the responding daemon knows all records; empty if
+     *     unknown
      */
-    record RelayedFeed(List<FeedRecord> records, Optional<Duration> age, OptionalLong position) {}
+    record RelayedFeed(
+            List<FeedRecord> records, Optional<Duration> age, Optional<LogPosition> position) {}
 
     /**
-     * Records after the requested offsets.
+     * Records after the requested positions.
      *
      * @param weightVersions ages of versions that the responding daemon does not only assume
      * @param lapsesPossible whether registrations may have ended only because the store was
@@ -287,11 +291,20 @@
         RelayedFeed operators = response.operators();
         operators.records().forEach(record -> builder.addOperatorRecords(encode(record)));
         operators.age().ifPresent(age -> builder.setOperatorAgeMilliseconds(age.toMillis()));
-        operators.position().ifPresent(builder::setOperatorPosition);
+        operators
+                .position()
+                .ifPresent(
+                        position ->
+                                builder.setOperatorEra(position.era())
+                                        .setOperatorPosition(position.offset()));
         RelayedFeed targets = response.targets();
         targets.records().forEach(record -> builder.addTargetRecords(encode(record)));
         targets.age().ifPresent(age -> builder.setTargetsAgeMilliseconds(age.toMillis()));
-        targets.position().ifPresent(builder::setTargetsPosition);
+        targets.position()
+                .ifPresent(
+                        position ->
+                                builder.setTargetsEra(position.era())
+                                        .setTargetsPosition(position.offset()));
         response.weightVersions().forEach(version -> builder.addWeightVersions(encode(version)));
         builder.setLapsesPossible(response.lapsesPossible());
         return builder.build().toByteArray();
@@ -332,24 +345,32 @@
 
     private static RelayedFeed decodeOperators(GatewayMessages.RelayAnswer response) {
         return new RelayedFeed(
-                response.getOperatorRecordsList().stream().map(GossipMessageCodec::decode).toList(),
+                response.getOperatorRecordsList().stream()
+                        .map(record -> decode(record, response.getOperatorEra()))
+                        .toList(),
                 response.hasOperatorAgeMilliseconds()
                         ? Optional.of(decodeAge(response.getOperatorAgeMilliseconds()))
                         : Optional.empty(),
                 response.hasOperatorPosition()
-                        ? OptionalLong.of(response.getOperatorPosition())
-                        : OptionalLong.empty());
+                        ? Optional.of(
+                                new LogPosition(
+                                        response.getOperatorEra(), response.getOperatorPosition()))
+                        : Optional.empty());
     }
 
     private static RelayedFeed decodeTargets(GatewayMessages.RelayAnswer response) {
         return new RelayedFeed(
-                response.getTargetRecordsList().stream().map(GossipMessageCodec::decode).toList(),
+                response.getTargetRecordsList().stream()
+                        .map(record -> decode(record, response.getTargetsEra()))
+                        .toList(),
                 response.hasTargetsAgeMilliseconds()
                         ? Optional.of(decodeAge(response.getTargetsAgeMilliseconds()))
                         : Optional.empty(),
                 response.hasTargetsPosition()
-                        ? OptionalLong.of(response.getTargetsPosition())
-                        : OptionalLong.empty());
+                        ? Optional.of(
+                                new LogPosition(
+                                        response.getTargetsEra(), response.getTargetsPosition()))
+                        : Optional.empty());
     }
 
     private static WeightVersionAge decode(GatewayMessages.WeightVersionAge version) {
@@ -368,10 +389,10 @@
         return Duration.ofMillis(milliseconds);
     }
 
-    private static FeedRecord decode(GatewayMessages.RelayedRecord record) {
+    private static FeedRecord decode(GatewayMessages.RelayedRecord record, long era) {
         Optional<byte[]> value =
                 record.hasValue() ? Optional.of(record.getValue().toByteArray()) : Optional.empty();
-        return new FeedRecord(record.getKey(), record.getOffset(), value);
+        return new FeedRecord(record.getKey(), new LogPosition(era, record.getOffset()), value);
     }
 
     private static GatewayException malformed(InvalidProtocolBufferException cause) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -7,7 +7,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
@@ -17,6 +17,7 @@
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.feed.Feed;
 import org.bergamothoist.core.feed.FeedFreshness;
+import org.bergamothoist.core.feed.LogPosition;
 import org.bergamothoist.core.feed.ReplicatedFeeds;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.time.Scheduler;
@@ -210,7 +211,10 @@
             GossipMessageCodec.RelayedFeed relayed,
             Instant sentAt,
             Map<Feed, Instant> completeUntil) {
-        feeds.mirror().applyRelayed(feed, relayed.records(), relayed.position().orElse(-1));
+        feeds.mirror().applyRelayed(feed, relayed.records(), relayed.position());
+        if (relayed.position().filter(position -> isOfEarlierEra(feed, position)).isPresent()) {
+            return;
+        }
         relayed.age()
                 .map(sentAt::minus)
                 .ifPresent(
@@ -221,6 +225,10 @@
                         });
     }
 
+    private boolean isOfEarlierEra(Feed feed, LogPosition position) {
+        return position.era() < feeds.mirror().position(feed).era();
+    }
+
     private void applyDate(
             String source, GossipMessageCodec.WeightVersionAge version, Instant sentAt) {
         boolean refined =
@@ -246,8 +254,8 @@
             GossipMessageCodec.RelayRequest request = GossipMessageCodec.decodeRelayRequest(body);
             var response =
                     new GossipMessageCodec.RelayResponse(
-                            relayedFeed(Feed.OPERATOR, request.operatorOffset()),
-                            relayedFeed(Feed.TARGETS, request.targetsOffset()),
+                            relayedFeed(Feed.OPERATOR, request.operators()),
+                            relayedFeed(Feed.TARGETS, request.targets()),
                             request.versionDatesKnown() ? List.of() : weightVersionAges(),
                             clusterView.targets().mayHaveLapsed());
             return new AuxiliaryHttpServer.Response(
@@ -257,11 +265,11 @@
         }
     }
 
-    private GossipMessageCodec.RelayedFeed relayedFeed(Feed feed, long offset) {
+    private GossipMessageCodec.RelayedFeed relayedFeed(Feed feed, LogPosition after) {
         return new GossipMessageCodec.RelayedFeed(
-                feeds.mirror().recordsAfter(feed, offset),
+                feeds.mirror().recordsAfter(feed, after),
                 feeds.freshness(feed).flatMap(FeedFreshness::completeUntil).map(this::age),
-                OptionalLong.of(feeds.mirror().position(feed)));
+                Optional.of(feeds.mirror().position(feed)));
     }
 
     private List<GossipMessageCodec.WeightVersionAge> weightVersionAges() {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.feed.Feed;
@@ -81,7 +82,7 @@
             log.write(
                     DecisionKind.RECORD_IGNORED,
                     record.key(),
-                    () -> "feed=" + feed + " offset=" + record.offset() + " " + exception,
+                    () -> "feed=" + feed + " position=" + record.position() + " " + exception,
                     "not applied");
         }
     }
@@ -96,9 +97,70 @@
     }
 
     private Optional<RegisteredTarget> registeredTarget(FeedRecord record) {
-        return record.value()
-                .flatMap(value -> decoder.registration(record.key(), value))
-                .map(RecordDecoder.Registration::target);
+        return registration(record).map(RecordDecoder.Registration::target);
+    }
+
+    private Optional<RecordDecoder.Registration> registration(FeedRecord record) {
+        return record.value().flatMap(value -> decoder.registration(record.key(), value));
+    }
+
+    @Override
+    public boolean isEarlierState(Feed feed, FeedRecord record, FeedRecord other) {
+        return switch (feed) {
+            case OPERATOR -> isBefore(operatorVersion(record), operatorVersion(other));
+            case TARGETS -> isEarlierRegistration(record, other);
+            case DAEMONS -> false;
+        };
+    }
+
+    private static boolean isBefore(OptionalLong version, OptionalLong other) {
+        return version.isPresent() && other.isPresent() && version.getAsLong() < other.getAsLong();
+    }
+
+    /** Returns the version that an operator's record states, or empty if it is not readable. */
+    private OptionalLong operatorVersion(FeedRecord record) {
+        if (record.value().isEmpty()) {
+            return OptionalLong.empty();
+        }
+        byte[] value = record.value().get();
+        try {
+            return decoder.isConfigurationKey(record.key())
+                    ? decoder.configuration(value).stream()
+                            .mapToLong(RouteConfiguration::version)
+                            .findFirst()
+                    : decoder.desiredWeights(record.key(), value).stream()
+                            .mapToLong(RecordDecoder.DesiredWeights::version)
+                            .findFirst();
+        } catch (GatewayException exception) {
+            log.write(
+                    DecisionKind.RECORD_IGNORED,
+                    record.key(),
+                    () -> "position=" + record.position() + " " + exception.getMessage(),
+                    "version not readable");
+            return OptionalLong.empty();
+        }
+    }
+
+    private boolean isEarlierRegistration(FeedRecord record, FeedRecord other) {
+        Optional<RecordDecoder.Registration> registration = registration(record);
+        if (registration.isEmpty()) {
+            return false;
+        }
+        RegisteredTarget target = registration.get().target();
+        long reportNumber = registration.get().reportNumber();
+        if (other.value().isEmpty()) {
+            return clusterView.targets().hasEnded(target, reportNumber);
+        }
+        return registration(other)
+                .filter(
+                        later ->
+                                TargetRegistry.order(
+                                                target,
+                                                reportNumber,
+                                                later.target(),
+                                                later.reportNumber())
+                                        < 0)
+                .isPresent();
     }
 
     private void apply(Feed feed, FeedRecord record) {
@@ -157,7 +219,7 @@
             log.write(
                     DecisionKind.RECORD_IGNORED,
                     record.key(),
-                    () -> "offset=" + record.offset() + " " + exception.getMessage(),
+                    () -> "position=" + record.position() + " " + exception.getMessage(),
                     "malformed configuration ignored");
         }
     }
@@ -171,8 +233,8 @@
                     () ->
                             "before="
                                     + before
-                                    + " offset="
-                                    + record.offset()
+                                    + " position="
+                                    + record.position()
                                     + " routes="
                                     + configuration.routes().size(),
                     "version " + configuration.version());
@@ -187,8 +249,8 @@
                     DecisionKind.WEIGHTS_NAMED,
                     weights.model(),
                     () ->
-                            "offset="
-                                    + record.offset()
+                            "position="
+                                    + record.position()
                                     + versions.outdatedSince(weights.model(), weights.version() - 1)
                                             .map(
                                                     since ->
@@ -211,7 +273,7 @@
         log.write(
                 DecisionKind.RECORD_IGNORED,
                 record.key(),
-                () -> "feed=" + feed + " offset=" + record.offset(),
+                () -> "feed=" + feed + " position=" + record.position(),
                 "not readable");
     }
 
