Order fencing numbers by era, and wait anew for the holder of an earlier one

Callers saw orders of two machines under one fencing number after the store had come back from an older copy: the number was the offset at which the lease was transferred, plus one, and offsets are given out again. Records that came back with the copy, an empty log, and appends of an earlier era that were carried out late also transferred the lease without the wait.

Numbers are now ordered by era before offset, and are above each number that is known. A holder stops when the store has fallen back; results of calls that began before are ignored. Only a record whose number is of the era in which it is read lets its writer acquire the lease at once; an empty log does so only if the store has never fallen back. The wait is counted from the first read of the new era, which daemons that read the store make at once, so that it does not begin with the orders.

The last holder acquires the lease again without the wait within the order window and the duration after its last confirmed renewal. No other daemon can have acquired it then: it has read either that renewal or a later era after it, and waits for both times and the safety margin.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/LeaseTopic.java
@@ -28,7 +28,7 @@
      *
      * @param holder name of the daemon
      * @param fencingNumber fencing number of the holder, which increases with every change of
-     *     holder
+     *     holder and is higher in each later era of the store
      * @param versions weight versions that the holder rolls out and those before them
      */
     record Holding(String holder, long fencingNumber, List<RequestedVersion> versions) {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -17,8 +17,17 @@
  * new one. A holder sends orders only within {@link #ORDER_WINDOW} after a renewal that the store
  * has confirmed, measured from before its append. Another daemon takes over once it has seen the
  * log unchanged for that window plus the duration of the lease, so that orders of two holders are
- * always at least the duration apart. The fencing number is the offset of the record that
- * transferred the lease, plus one.
+ * always at least the duration apart. The fencing number orders the era of the store before the
+ * offset of the record that transferred the lease.
+ *
+ * <p>The store may come back from an older copy, which may lack the newest records. A holder then
+ * stops, and every daemon counts the wait from its first read of the new era. All renewals of
+ * earlier eras were confirmed before that read, so that the wait covers them too.
+ *
+ * <p>A holder may acquire the lease again without the wait, in any era, within the order window and
+ * the duration after its last confirmed renewal: each other daemon has seen that renewal or a later
+ * era after it, and waits longer than that. An append that is carried out late transfers no lease,
+ * because its sender does not use it and its number, if it is of an earlier era, is not regarded.
  */
 public final class OrderLease {
 
@@ -34,6 +43,9 @@
     /** Interval between reads of the log while another daemon holds the lease. */
     private static final Duration READ_INTERVAL = Duration.ofMillis(200);
 
+    /** Fencing numbers of one era; with eras of six digits a number remains exact in JSON. */
+    private static final long NUMBERS_PER_ERA = 1L << 32;
+
     private static final String NAME = "order-lease";
 
     private final String self;
@@ -45,12 +57,24 @@
 
     private boolean storeCallPending;
     private boolean tailKnown;
-    private LeaseTopic.Tail tail;
+    private LeaseTopic.Tail tail = new LeaseTopic.Tail(Optional.empty(), 0);
+    private boolean tailRead;
+    private long fallbacks;
     private Instant tailUnchangedSince = Instant.EPOCH;
     private Instant lastReadAt = Instant.EPOCH;
     private Instant renewedAt = Instant.EPOCH;
+
+    /** Time before which no other daemon acquires the lease. */
+    private Instant exclusiveUntil = Instant.EPOCH;
+
     private long fencingNumber;
 
+    /** Highest number that was read or used. */
+    private long highestNumber;
+
+    /** Highest number that was known when the current era was first seen. */
+    private long highestNumberOfEarlierEras;
+
     /**
      * Times at which weight versions were requested. Holders keep them in the log, so that they
      * outlast a restart of all daemons.
@@ -101,22 +125,40 @@
         return fencingNumber > 0 && !left.isNegative() ? left : Duration.ZERO;
     }
 
-    /** Returns whether this daemon was the last holder, as far as it knows. */
+    /**
+     * Returns whether this daemon was the last holder, as far as it knows. A holder that has
+     * stopped because the store has fallen back remains the last holder while it can acquire the
+     * lease again at once.
+     */
     public boolean isHolder() {
-        return fencingNumber > 0;
+        return fencingNumber > 0 || clock.instant().isBefore(exclusiveUntil);
     }
 
     /** Gives up the lease, because a target has seen a higher fencing number. */
     public void onFenced() {
-        log.write(
-                DecisionKind.LEASE_CHANGED,
-                NAME,
-                () -> "fencing=" + fencingNumber,
-                "lost: a target has seen a higher fencing number");
+        logChange("", "lost: a target has seen a higher fencing number");
         fencingNumber = 0;
+        exclusiveUntil = Instant.EPOCH;
         tailKnown = false;
     }
 
+    /**
+     * Gives up the lease and what was read, because the store has come back from an older copy.
+     * Results of calls that began before are ignored.
+     */
+    public void onStoreFallback() {
+        if (fencingNumber > 0) {
+            logChange("", "lost: the store has come back from an older copy");
+        }
+        fallbacks++;
+        fencingNumber = 0;
+        highestNumberOfEarlierEras = highestNumber;
+        tailKnown = false;
+        tailRead = false;
+        storeCallPending = false;
+        lastReadAt = Instant.EPOCH;
+    }
+
     /**
      * Acquires or renews the lease if that is due; to be called often while there are orders to
      * send.
@@ -136,7 +178,7 @@
             }
             return;
         }
-        if (tail.newest().isEmpty() || canTakeOver(now)) {
+        if (canAcquire(now)) {
             append(now, false);
         } else if (!now.isBefore(lastReadAt.plus(READ_INTERVAL))) {
             readTail(now);
@@ -154,6 +196,16 @@
         }
     }
 
+    /**
+     * Reads the log if its end is not known, so that the wait for its last holder begins before
+     * there are orders to send; to be called often by daemons that read the store.
+     */
+    public void observe() {
+        if (!tailKnown) {
+            watch();
+        }
+    }
+
     private boolean isHeldBySelf() {
         return fencingNumber > 0
                 && tail.newest()
@@ -165,22 +217,46 @@
     }
 
     /**
-     * Returns whether an earlier run of this daemon holds the lease, or the holder has let it
-     * expire.
+     * Returns whether there was no holder before, this daemon or an earlier run of it is the last
+     * holder, or the last holder has let the lease expire.
      */
-    private boolean canTakeOver(Instant now) {
-        boolean lastHolderIsSelf =
-                tail.newest().map(holding -> holding.holder().equals(self)).orElse(false);
+    private boolean canAcquire(Instant now) {
         Duration wait = ORDER_WINDOW.plus(duration).plus(SAFETY_MARGIN);
-        return lastHolderIsSelf || !now.isBefore(tailUnchangedSince.plus(wait));
+        if (!now.isBefore(tailUnchangedSince.plus(wait))) {
+            return true;
+        }
+        Optional<LeaseTopic.Holding> holding = tail.newest().filter(this::isOfCurrentEra);
+        if (holding.isPresent()) {
+            return holding.get().holder().equals(self);
+        }
+        return now.isBefore(exclusiveUntil) || isFirstRecordOfStore();
+    }
+
+    /**
+     * Returns whether a record was written in the era in which it was read, and neither came back
+     * with the copy nor was appended by a call of an earlier era.
+     */
+    private boolean isOfCurrentEra(LeaseTopic.Holding holding) {
+        long number = holding.fencingNumber();
+        return number > highestNumberOfEarlierEras && number > tail.era() * NUMBERS_PER_ERA;
+    }
+
+    /** Returns whether the log is empty, and not because the store has lost its records. */
+    private boolean isFirstRecordOfStore() {
+        return tail.newest().isEmpty() && tail.era() == 0 && fallbacks == 0;
     }
 
     private void readTail(Instant now) {
         storeCallPending = true;
         lastReadAt = now;
+        long fallbacksBefore = fallbacks;
         topic.read()
                 .whenComplete(
                         (read, failure) -> {
+                            if (fallbacks != fallbacksBefore) {
+                                logChange("", "read of an earlier era not used");
+                                return;
+                            }
                             storeCallPending = false;
                             if (failure == null) {
                                 onTailRead(read);
@@ -191,30 +267,56 @@
     }
 
     private void onTailRead(LeaseTopic.Tail read) {
+        if (tailRead && read.era() != tail.era()) {
+            // StoreEra does not report the first announcement of an era as a fallback.
+            onStoreFallback();
+        }
         if (!tailKnown || read.end() != tail.end()) {
             tailUnchangedSince = clock.instant();
         }
         tailKnown = true;
+        tailRead = true;
         tail = read;
-        read.newest().ifPresent(holding -> versionDates.onRead(holding.versions()));
-        if (fencingNumber > 0 && !isHeldBySelf()) {
-            log.write(
-                    DecisionKind.LEASE_CHANGED,
-                    NAME,
-                    () -> "fencing=" + fencingNumber + " newest=" + read.newest(),
-                    "lost to another daemon");
+        read.newest()
+                .ifPresent(
+                        holding -> {
+                            highestNumber = Math.max(highestNumber, holding.fencingNumber());
+                            versionDates.onRead(holding.versions());
+                        });
+        if (isHeldBySelf()) {
+            return;
+        }
+        Optional<LeaseTopic.Holding> other = read.newest().filter(this::isHeldByOther);
+        if (fencingNumber > 0) {
+            logChange(
+                    " newest=" + read.newest(),
+                    other.isPresent()
+                            ? "lost to another daemon"
+                            : "lost: the newest record is of an earlier era or an earlier run");
             fencingNumber = 0;
         }
+        if (other.isPresent()) {
+            exclusiveUntil = Instant.EPOCH;
+        }
+    }
+
+    private boolean isHeldByOther(LeaseTopic.Holding holding) {
+        return isOfCurrentEra(holding) && !holding.holder().equals(self);
     }
 
     private void append(Instant now, boolean renewal) {
         storeCallPending = true;
         long end = tail.end();
-        long number = renewal ? fencingNumber : end + 1;
+        long number = renewal ? fencingNumber : nextNumber();
+        long fallbacksBefore = fallbacks;
         LeaseTopic.Holding holding = new LeaseTopic.Holding(self, number, versionDates.known());
         topic.append(holding, end)
                 .whenComplete(
                         (newEnd, failure) -> {
+                            if (fallbacks != fallbacksBefore) {
+                                logChange("", "append of an earlier era not confirmed");
+                                return;
+                            }
                             storeCallPending = false;
                             if (failure != null) {
                                 logFailure("append to lease log not confirmed", failure);
@@ -227,25 +329,43 @@
                         });
     }
 
-    private void logFailure(String outcome, Throwable failure) {
-        log.write(
-                DecisionKind.LEASE_CHANGED,
-                NAME,
-                () -> "fencing=" + fencingNumber + " " + failure,
-                outcome);
+    private long nextNumber() {
+        return Math.max(tail.era() * NUMBERS_PER_ERA + tail.end() + 1, highestNumber + 1);
     }
 
     private void confirm(LeaseTopic.Holding holding, long newEnd, Instant sentAt, boolean renewal) {
+        Optional<LeaseTopic.Holding> previous = tail.newest();
         tail = new LeaseTopic.Tail(Optional.of(holding), newEnd, tail.era());
         tailUnchangedSince = sentAt;
         fencingNumber = holding.fencingNumber();
+        highestNumber = Math.max(highestNumber, fencingNumber);
         renewedAt = sentAt;
+        exclusiveUntil = sentAt.plus(ORDER_WINDOW).plus(duration);
         if (!renewal) {
-            log.write(
-                    DecisionKind.LEASE_CHANGED,
-                    NAME,
-                    () -> "fencing=" + fencingNumber + " end=" + newEnd,
-                    "acquired");
+            logChange(previous.map(OrderLease::describe).orElse(""), "acquired");
         }
     }
+
+    private static String describe(LeaseTopic.Holding previous) {
+        return " after=" + previous.holder() + " fencing-before=" + previous.fencingNumber();
+    }
+
+    private void logFailure(String outcome, Throwable failure) {
+        logChange(" " + failure, outcome);
+    }
+
+    private void logChange(String details, String outcome) {
+        log.write(
+                DecisionKind.LEASE_CHANGED,
+                NAME,
+                () ->
+                        "fencing="
+                                + fencingNumber
+                                + " era="
+                                + tail.era()
+                                + " end="
+                                + tail.end()
+                                + details,
+                outcome);
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -379,6 +379,7 @@
                         peers.listen(ConnectionPool.socketAddress(settings.peers())),
                         metricsServer.listen(ConnectionPool.socketAddress(settings.metrics())),
                         reports.open(ConnectionPool.socketAddress(settings.peers())));
+        storeEra.addListener((before, after) -> lease.onStoreFallback());
         storeEra.addListener((before, after) -> feeds.onStoreFallback(after));
         bound.forEach(
                 future ->
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/WeightRollout.java
@@ -127,6 +127,9 @@
 
     private void planAndOrder() {
         scheduler.schedule(PLANNING_INTERVAL, this::planAndOrder);
+        if (readsStore.getAsBoolean()) {
+            lease.observe();
+        }
         Map<String, Integer> newest = clusterView.desiredWeightVersions().newestVersions();
         Instant now = clock.instant();
         progressByEngine.keySet().removeIf(incarnation -> !isRegistered(incarnation));
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/WeightRolloutTest.java
@@ -62,6 +62,7 @@
     private Duration longestOutdated = Duration.ofSeconds(15);
     private final List<Long> estimates = new ArrayList<>();
     private final Set<String> alreadyHolding = new HashSet<>();
+    private final UncontestedLeaseTopic leaseTopic = new UncontestedLeaseTopic();
     private int statePolls;
     private boolean readsStore = true;
     private int maximumLoading;
@@ -135,9 +136,11 @@
 
         private long end;
         private Holding newest;
+        private int reads;
 
         @Override
         public CompletionStage<Tail> read() {
+            reads++;
             return CompletableFuture.completedFuture(new Tail(Optional.ofNullable(newest), end));
         }
 
@@ -170,7 +173,7 @@
         OrderLease lease =
                 new OrderLease(
                         "daemon-1",
-                        new UncontestedLeaseTopic(),
+                        leaseTopic,
                         new LoggedVersionDates(
                                 clusterView.desiredWeightVersions(),
                                 clock,
@@ -268,6 +271,18 @@
         assertThat(engines.values()).allMatch(engine -> engine.acceptedOrders == 1);
     }
 
+    /** Guards against a wait for an unknown last holder that begins only when there are orders. */
+    @Test
+    void daemonThatReadsTheStoreReadsTheLeaseLogOnceWithoutOrders() {
+        readsStore = false;
+        start(0, Duration.ZERO);
+        run(Duration.ofSeconds(3));
+        assertThat(leaseTopic.reads).isZero();
+        readsStore = true;
+        run(Duration.ofSeconds(3));
+        assertThat(leaseTopic.reads).isOne();
+    }
+
     private static DaemonReport reportOfDaemonThatDoesNotReadTheStore() {
         return new DaemonReport(
                 new DaemonId("daemon-0", 1),
