Keep a replica in the latest era that it was told of

What callers saw: nothing yet; found by unit tests of the replica. A daemon that was told of a later era by another one, and whose own reads were still of the era before, went back to that era or stored records with its offsets; it then relayed them as positions of the later era, so that others passed over newer records. A relayed state that the copy lacks was replaced by the copy's listing when that arrived later, and a relayed registration that the store lacks stayed for ever, since no later record deletes it. Change: restarts, listings and pages of an earlier era are ignored, those of a later era begin it. Relayed values are retained until a record that does not state an earlier state replaces them. A relayed key that the store lacks is stored at a position of the own era; a target's is not, since the target writes it again.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
@@ -19,7 +19,8 @@
  *
  * <p>When the store comes back from an older copy, what is known precedes all positions of the new
  * era. It is kept until a record that does not state an earlier state replaces it: the copy may
- * contain older records, or none at all.
+ * contain older records, or none at all. All records of a feed are of the era of its position, and
+ * no feed goes back to an earlier era.
  */
 public final class FeedMirror {
 
@@ -84,11 +85,15 @@
 
     /**
      * Continues with a feed of which the store may have lost the newest records, from an offset on
-     * that is given out again. All that is known is retained.
+     * that is given out again. All that is known is retained. Ignored if the feed is of a later era
+     * already, which another daemon can have told.
      *
      * @param era era of the records that follow
      */
     public void restart(Feed feed, long era) {
+        if (isEarlierEra(feed, era)) {
+            return;
+        }
         LogPosition position = new LogPosition(era, RETAINED_OFFSET);
         recordsByFeed
                 .get(feed)
@@ -101,44 +106,87 @@
         positions.put(feed, new LogPosition(era, INITIAL_OFFSET));
     }
 
+    /** Returns whether an era is before that of a feed, so that nothing in it is up to date. */
+    public boolean isEarlierEra(Feed feed, long era) {
+        return era < position(feed).era();
+    }
+
     /** Applies records that are newer than the known ones of their keys. */
     public void apply(Feed feed, Collection<FeedRecord> records) {
         records.forEach(record -> apply(feed, record, false));
     }
 
-    /** Applies a page that continues the last listing or page. */
+    /** Applies a page that continues the last listing or page, unless it is of an earlier era. */
     public void apply(Feed feed, FeedSource.Page page) {
+        if (isEarlierEra(feed, page.next().era())) {
+            return;
+        }
+        restartIfLater(feed, page.next().era());
         page.records().forEach(record -> apply(feed, record, true));
         advance(feed, page.next().previous());
     }
 
     /**
-     * Applies the records that a replica of another daemon has after {@link #position}. Records of
-     * an earlier era only count if they state a later state than the known ones.
+     * Applies the records that a replica of another daemon has after {@link #position}, or all of
+     * its records. Those that precede what is known only count if they state a later state.
      *
      * @param position position up to which that replica has all records, or empty if unknown
      */
     public void applyRelayed(
             Feed feed, Collection<FeedRecord> records, Optional<LogPosition> position) {
-        long era = position(feed).era();
-        position.map(LogPosition::era)
-                .filter(relayedEra -> relayedEra > era)
-                .ifPresent(laterEra -> restart(feed, laterEra));
+        position.ifPresent(known -> restartIfLater(feed, known.era()));
         records.forEach(record -> applyRelayed(feed, record));
         position.ifPresent(known -> advance(feed, known));
     }
 
+    private void restartIfLater(Feed feed, long era) {
+        if (era > position(feed).era()) {
+            restart(feed, era);
+        }
+    }
+
+    /**
+     * Applies a relayed record. It is retained, since the other replica may have retained it or its
+     * later state, except for a deletion, after which a key may be written again as it was.
+     */
     private void applyRelayed(Feed feed, FeedRecord record) {
         KnownRecord before = recordsByFeed.get(feed).get(record.key());
-        if (before == null || record.position().isAfter(before.record().position())) {
-            apply(feed, record, false);
-        } else if (isWithdrawn(before.record(), record)
-                || listener.isEarlierState(feed, before.record(), record)) {
-            LogPosition position = before.record().position();
-            accept(feed, new FeedRecord(record.key(), position, record.value()), position, true);
+        LogPosition position = position(feed);
+        if (before == null && !record.position().isAfter(position)) {
+            applyMissing(feed, record, new LogPosition(position.era(), RETAINED_OFFSET));
+        } else if (before == null) {
+            acceptRelayed(feed, record, record.position());
+        } else if (isWithdrawn(before.record(), record)) {
+            accept(feed, record, record.position(), true);
+        } else if (record.position().isAfter(before.record().position())) {
+            if (before.retained() && listener.isEarlierState(feed, record, before.record())) {
+                retain(feed, before.record(), record.position());
+            } else {
+                acceptRelayed(feed, record, record.position());
+            }
+        } else if (listener.isEarlierState(feed, before.record(), record)) {
+            acceptRelayed(feed, record, before.record().position());
+        }
+    }
+
+    /**
+     * Applies a relayed record of a key that the store does not have. A target whose registration
+     * was lost writes it again, and one that does not is gone.
+     */
+    private void applyMissing(Feed feed, FeedRecord record, LogPosition position) {
+        if (feed != Feed.TARGETS) {
+            acceptRelayed(feed, record, position);
         }
     }
 
+    private void acceptRelayed(Feed feed, FeedRecord record, LogPosition position) {
+        accept(
+                feed,
+                new FeedRecord(record.key(), position, record.value()),
+                position,
+                record.value().isPresent());
+    }
+
     /**
      * Returns whether another replica knows that the key was deleted although the store has this
      * record: it comes from an older copy.
@@ -203,9 +251,14 @@
     /**
      * Applies a listing. Known keys that it does not contain are deleted if their records are older
      * than its end. What was retained is only deleted from the targets' feed: targets write again
-     * what the store has lost, and one that does not is gone.
+     * what the store has lost, and one that does not is gone. A listing of an earlier era is
+     * ignored.
      */
     public void apply(Feed feed, FeedSource.Listing listing) {
+        if (isEarlierEra(feed, listing.end().era())) {
+            return;
+        }
+        restartIfLater(feed, listing.end().era());
         apply(feed, listing.records());
         Set<String> listed = new HashSet<>();
         listing.records().forEach(record -> listed.add(record.key()));
