--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedFollowerTest.java
@@ -128,6 +128,66 @@
         assertThat(completeUntils).containsExactly(sentAt.plusMillis(coveredMilliseconds));
     }
 
+    /**
+     * Guards against an answer, or a scheduled call with an offset, of the time before the store
+     * fell back.
+     *
+     * @param milliseconds time of the restart after the start
+     */
+    @ParameterizedTest
+    @CsvSource({"LISTING,0", "PAGE,15", "PAUSE,5", "RETRY,5", "FAILED_READ,15"})
+    void restartIgnoresCallsThatWereMadeBefore(String inProgress, long milliseconds) {
+        CompletableFuture<Listing> listing = new CompletableFuture<>();
+        CompletableFuture<Page> page = new CompletableFuture<>();
+        if (inProgress.equals("RETRY")) {
+            listing.completeExceptionally(new IllegalStateException("refused"));
+        } else if (!inProgress.equals("LISTING")) {
+            listing.complete(new Listing(List.of(), 7));
+        }
+        listings.add(listing);
+        pages.add(page);
+        follower.start();
+        time.advanceMillis(milliseconds);
+        calls.clear();
+        notifications.clear();
+        follower.restart();
+        listing.complete(new Listing(List.of(), 7));
+        if (inProgress.equals("FAILED_READ")) {
+            page.completeExceptionally(new ExpiredOffsetException(Feed.OPERATOR, 7));
+        }
+        page.complete(new Page(List.of(record(7)), 8));
+        time.advanceMillis(2_000);
+        assertThat(calls).containsExactly("list");
+        assertThat(notifications).isEmpty();
+    }
+
+    @Test
+    void restartedFollowerReadsFromTheEndOfTheNewListing() {
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+        listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 3)));
+        follower.start();
+        time.advanceMillis(20);
+        follower.restart();
+        time.advanceMillis(20);
+        assertThat(calls).containsExactly("list", "read 7", "list", "read 3");
+    }
+
+    /** Guards against reads of a daemon that gets the records from others, or has not started. */
+    @ParameterizedTest
+    @CsvSource({"true,1", "false,0"})
+    void restartDoesNotBeginReads(boolean suspended, int expectedCalls) {
+        if (suspended) {
+            listings.add(CompletableFuture.completedFuture(new Listing(List.of(), 7)));
+            wanted = false;
+            follower.start();
+            time.advanceMillis(20);
+        }
+        follower.restart();
+        time.advanceMillis(1_000);
+        assertThat(calls).hasSize(expectedCalls);
+        assertThat(follower.isSuspended()).isEqualTo(suspended);
+    }
+
     /**
      * Guards against a daemon that ceases to retry a failed read, or reads on from an old offset.
      */
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -117,4 +117,63 @@
         registry.onStoreUnavailable();
         assertThat(registry.remove("t")).isEqualTo(TargetRegistry.Change.REMOVED);
     }
+
+    /**
+     * Guards against a target that is removed because the store lost its registration, and one that
+     * stays for ever because it does not write it again.
+     */
+    @ParameterizedTest
+    @CsvSource({"0,true", "1900,true", "2100,false"})
+    void registrationThatTheCopyLacksStaysForTheGracePeriod(long untilRemoval, boolean stays) {
+        registry.register(target("t", 1, false), 7);
+        time.advanceMillis(10_000);
+        registry.onStoreFallback();
+        time.advanceMillis(untilRemoval);
+        assertThat(registry.remove("t"))
+                .isEqualTo(stays ? TargetRegistry.Change.LAPSED : TargetRegistry.Change.REMOVED);
+        assertThat(registry.removeLapsed()).isEmpty();
+        assertThat(registry.accepting("service")).hasSize(stays ? 1 : 0);
+        time.advanceMillis(2_100);
+        assertThat(registry.removeLapsed()).hasSize(stays ? 1 : 0);
+        assertThat(registry.accepting("service")).isEmpty();
+    }
+
+    @Test
+    void registrationThatIsWrittenAgainAfterTheFallbackStays() {
+        registry.register(target("t", 1, false), 7);
+        registry.onStoreFallback();
+        registry.remove("t");
+        registry.register(target("t", 1, false), 7);
+        time.advanceMillis(3_000);
+        assertThat(registry.removeLapsed()).isEmpty();
+        assertThat(registry.accepting("service")).hasSize(1);
+    }
+
+    /** Guards against a target that had left and is back because the copy has its registration. */
+    @ParameterizedTest
+    @CsvSource({
+        "t,10,7,true",
+        "t,10,6,true",
+        "t,9,8,true",
+        "t,10,8,false",
+        "t,11,1,false",
+        "u,10,1,false"
+    })
+    void endedRegistrationIsRecognised(String id, long start, long report, boolean ended) {
+        registry.register(target("t", 10, false), 7);
+        assertThat(registry.hasEnded(target(id, start, false), report)).isFalse();
+        registry.remove("t");
+        assertThat(registry.hasEnded(target(id, start, false), report)).isEqualTo(ended);
+    }
+
+    @Test
+    void lapsedRegistrationHasEndedOnlyAfterTheGracePeriod() {
+        registry.register(target("t", 10, false), 7);
+        registry.onStoreFallback();
+        registry.remove("t");
+        assertThat(registry.hasEnded(target("t", 10, false), 7)).isFalse();
+        time.advanceMillis(2_100);
+        registry.removeLapsed();
+        assertThat(registry.hasEnded(target("t", 10, false), 7)).isTrue();
+    }
 }
