Keep a readable operators' record when an unreadable one follows the fallback

What callers saw: nothing yet; found by unit tests. An unreadable record does not take effect, but in the replica it replaced the readable one that was known before the store fell back, so that other daemons could not learn that one any more. A record that made the decoder throw while it was compared ended the application of a listing. Change: an unreadable record states an earlier state than a readable one, a deletion does not; a failure to compare is logged. Evidence: ClusterViewUpdaterTest, 25 cases; without the change those with an unreadable record and the throwing one fail.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/ClusterViewUpdater.java
@@ -106,15 +106,31 @@
 
     @Override
     public boolean isEarlierState(Feed feed, FeedRecord record, FeedRecord other) {
-        return switch (feed) {
-            case OPERATOR -> isBefore(operatorVersion(record), operatorVersion(other));
-            case TARGETS -> isEarlierRegistration(record, other);
-            case DAEMONS -> false;
-        };
+        try {
+            return switch (feed) {
+                case OPERATOR -> isEarlierOperatorState(record, other);
+                case TARGETS -> isEarlierRegistration(record, other);
+                case DAEMONS -> false;
+            };
+        } catch (RuntimeException exception) {
+            // One record that cannot be decoded must not keep those after it from being read.
+            log.write(
+                    DecisionKind.RECORD_IGNORED,
+                    record.key(),
+                    () -> "feed=" + feed + " position=" + record.position() + " " + exception,
+                    "not compared");
+            return false;
+        }
     }
 
-    private static boolean isBefore(OptionalLong version, OptionalLong other) {
-        return version.isPresent() && other.isPresent() && version.getAsLong() < other.getAsLong();
+    /** An unreadable record does not take effect, and so must not replace a readable one. */
+    private boolean isEarlierOperatorState(FeedRecord record, FeedRecord other) {
+        OptionalLong otherVersion = operatorVersion(other);
+        if (otherVersion.isEmpty() || record.value().isEmpty()) {
+            return false;
+        }
+        OptionalLong version = operatorVersion(record);
+        return version.isEmpty() || version.getAsLong() < otherVersion.getAsLong();
     }
 
     /** Returns the version that an operator's record states, or empty if it is not readable. */
