Believe dates, ages and availability only of daemons in the same era or a later one

What callers saw: nothing yet; found by unit tests. A daemon that has not seen the store fall back dated versions for others, told daemons that do not read the store whether registrations can have lapsed, and reads of an earlier era than the replica's counted as complete although their records are ignored. A daemon that learned of the fallback by another one's records removed targets at once that the copy lacks, without the grace period. Change: dates, ages and availability of an earlier era are ignored, records are not; records of a later era begin the grace period.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -115,7 +115,7 @@
                         self.name(), self.dataCentre(), paces.relayLimits(), clock, log);
         FeedSource countedStore = new CountedSource(store, metrics);
         FeedFollower.Observer observer =
-                new MirroringFeedObserver(feeds, clusterView.targets(), log);
+                new MirroringFeedObserver(feeds, clusterView.targets(), feed -> {}, log);
         this.operatorFeed =
                 new FeedFollower(
                         Feed.OPERATOR,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRelay.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.bergamothoist.core.decision.DecisionKind;
@@ -40,7 +41,10 @@
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(300);
 
     /** Timeout of a request: many round trips between data centres. */
-    private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(600);
+    static final Duration REQUEST_TIMEOUT = Duration.ofMillis(600);
+
+    /** Precedes all records, so that an answer contains each record that its daemon has. */
+    private static final LogPosition BEFORE_ALL_RECORDS = new LogPosition(0, Long.MIN_VALUE);
 
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
@@ -143,20 +147,64 @@
         return requestRecords(source, address, timeout, !datesNeeded.getAsBoolean());
     }
 
+    /**
+     * Requests all records that a daemon has, those included that the store may have lost, and
+     * applies what this daemon lacks. The stage contains whether the daemon has any of operators;
+     * it fails if there is no usable answer.
+     */
+    public CompletionStage<Boolean> requestAll(String source, String address) {
+        return requestFrom(BEFORE_ALL_RECORDS, source, address);
+    }
+
+    /** Requests all records of operators that a daemon has, and new ones of targets. */
+    public CompletionStage<Boolean> requestOperators(String source, String address) {
+        return requestFrom(feeds.mirror().position(Feed.TARGETS), source, address);
+    }
+
+    private CompletionStage<Boolean> requestFrom(
+            LogPosition targets, String source, String address) {
+        var request =
+                new GossipMessageCodec.RelayRequest(
+                        BEFORE_ALL_RECORDS, targets, !datesNeeded.getAsBoolean());
+        return send(
+                request,
+                source,
+                address,
+                REQUEST_TIMEOUT,
+                (records, sentAt) -> {
+                    applyRecords(source, records, sentAt);
+                    return !records.operators().records().isEmpty();
+                });
+    }
+
     private CompletionStage<Map<Feed, Instant>> requestRecords(
             String source, String address, Duration timeout, boolean datesKnown) {
-        byte[] request =
-                GossipMessageCodec.encode(
-                        new GossipMessageCodec.RelayRequest(
-                                feeds.mirror().position(Feed.OPERATOR),
-                                feeds.mirror().position(Feed.TARGETS),
-                                datesKnown));
+        var request =
+                new GossipMessageCodec.RelayRequest(
+                        feeds.mirror().position(Feed.OPERATOR),
+                        feeds.mirror().position(Feed.TARGETS),
+                        datesKnown);
+        return send(
+                request,
+                source,
+                address,
+                timeout,
+                (records, sentAt) -> applyRecords(source, records, sentAt));
+    }
+
+    private <T> CompletionStage<T> send(
+            GossipMessageCodec.RelayRequest request,
+            String source,
+            String address,
+            Duration timeout,
+            BiFunction<GossipMessageCodec.RelayResponse, Instant, T> apply) {
         Instant sentAt = clock.instant();
-        var call = new HttpCaller.Call(HttpMethod.POST, address, PATH, Map.of(), request, timeout);
+        byte[] body = GossipMessageCodec.encode(request);
+        var call = new HttpCaller.Call(HttpMethod.POST, address, PATH, Map.of(), body, timeout);
         return client.call(call)
-                .thenApply(response -> applyRecords(source, response, sentAt))
+                .thenApply(response -> apply.apply(decode(response), sentAt))
                 .whenComplete(
-                        (completeUntil, failure) -> {
+                        (applied, failure) -> {
                             if (failure != null) {
                                 logFailure(source, unwrap(failure));
                             }
@@ -182,19 +230,28 @@
                 : failure;
     }
 
-    private Map<Feed, Instant> applyRecords(String source, HttpAnswer response, Instant sentAt) {
+    private static GossipMessageCodec.RelayResponse decode(HttpAnswer response) {
         if (response.status() != OK) {
             throw new IllegalStateException("status " + response.status());
         }
-        GossipMessageCodec.RelayResponse records =
-                GossipMessageCodec.decodeRelayResponse(response.body());
-        if (readsSuspended.getAsBoolean()) {
+        return GossipMessageCodec.decodeRelayResponse(response.body());
+    }
+
+    /** Applies records; a daemon in an earlier era is only believed what it has records of. */
+    private Map<Feed, Instant> applyRecords(
+            String source, GossipMessageCodec.RelayResponse records, Instant sentAt) {
+        if (isOfLaterEra(records.targets())) {
+            clusterView.targets().onStoreFallback();
+        }
+        if (readsSuspended.getAsBoolean() && !isOfEarlierEra(Feed.TARGETS, records.targets())) {
             applyAvailability(records.lapsesPossible());
         }
         Map<Feed, Instant> completeUntil = new EnumMap<>(Feed.class);
         applyFeed(Feed.OPERATOR, records.operators(), sentAt, completeUntil);
         applyFeed(Feed.TARGETS, records.targets(), sentAt, completeUntil);
-        records.weightVersions().forEach(version -> applyDate(source, version, sentAt));
+        if (!isOfEarlierEra(Feed.OPERATOR, records.operators())) {
+            records.weightVersions().forEach(version -> applyDate(source, version, sentAt));
+        }
         return completeUntil;
     }
 
@@ -212,7 +269,7 @@
             Instant sentAt,
             Map<Feed, Instant> completeUntil) {
         feeds.mirror().applyRelayed(feed, relayed.records(), relayed.position());
-        if (relayed.position().filter(position -> isOfEarlierEra(feed, position)).isPresent()) {
+        if (isOfEarlierEra(feed, relayed)) {
             return;
         }
         relayed.age()
@@ -225,8 +282,15 @@
                         });
     }
 
-    private boolean isOfEarlierEra(Feed feed, LogPosition position) {
-        return position.era() < feeds.mirror().position(feed).era();
+    private boolean isOfEarlierEra(Feed feed, GossipMessageCodec.RelayedFeed relayed) {
+        return relayed.position()
+                .filter(position -> feeds.mirror().isEarlierEra(feed, position.era()))
+                .isPresent();
+    }
+
+    private boolean isOfLaterEra(GossipMessageCodec.RelayedFeed targets) {
+        long era = feeds.mirror().position(Feed.TARGETS).era();
+        return targets.position().filter(position -> position.era() > era).isPresent();
     }
 
     private void applyDate(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/state/MirroringFeedObserver.java
@@ -1,6 +1,7 @@
 package org.bergamothoist.gateway.state;
 
 import java.time.Instant;
+import java.util.function.Consumer;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.feed.Feed;
@@ -18,28 +19,43 @@
 
     private final ReplicatedFeeds feeds;
     private final TargetRegistry targets;
+    private final Consumer<Feed> onListed;
     private final DecisionLog log;
 
-    /** Creates an observer of all feeds. */
-    public MirroringFeedObserver(ReplicatedFeeds feeds, TargetRegistry targets, DecisionLog log) {
+    /**
+     * Creates an observer of all feeds.
+     *
+     * @param onListed called after a listing was applied
+     */
+    public MirroringFeedObserver(
+            ReplicatedFeeds feeds,
+            TargetRegistry targets,
+            Consumer<Feed> onListed,
+            DecisionLog log) {
         this.feeds = feeds;
         this.targets = targets;
+        this.onListed = onListed;
         this.log = log;
     }
 
     @Override
     public void onListing(Feed feed, FeedSource.Listing listing, Instant completeUntil) {
         feeds.mirror().apply(feed, listing);
-        recordComplete(feed, completeUntil);
+        recordComplete(feed, listing.end().era(), completeUntil);
+        onListed.accept(feed);
     }
 
     @Override
     public void onPage(Feed feed, FeedSource.Page page, Instant completeUntil) {
         feeds.mirror().apply(feed, page);
-        recordComplete(feed, completeUntil);
+        recordComplete(feed, page.next().era(), completeUntil);
     }
 
-    private void recordComplete(Feed feed, Instant completeUntil) {
+    /** A read of an era that others have seen end does not make the replica complete. */
+    private void recordComplete(Feed feed, long era, Instant completeUntil) {
+        if (feeds.mirror().isEarlierEra(feed, era)) {
+            return;
+        }
         feeds.freshness(feed).ifPresent(freshness -> freshness.recordComplete(completeUntil));
     }
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/state/WeightVersionDatingTest.java
@@ -218,6 +218,7 @@
                                     new ReplicatedFeeds(
                                             new FeedMirror(updater), freshness, freshness),
                                     clusterView.targets(),
+                                    feed -> {},
                                     (kind, subject, inputs, outcome) -> {}));
             process.execute(follower::start);
         }
