Ask other daemons for what the store has lost, at the start and after a fallback

What callers saw: a daemon that started between the store's return and the operator's next write served the copy's configuration, an older one than had been in force (CONFIG). Cause: a daemon that starts knows only what the copy has; the others retain the lost records, but relay only what follows a position. Change: RecordRecovery requests all records of up to four other daemons. Where the store announces an era a daemon asks before it is ready, and waits until they have answered or failed, at most for a relay's timeout; where it announces none, nothing changes. Daemons ask again after each fallback, over 300 ms, and when another daemon has reported a newer configuration for longer than a read of operators' records.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -20,6 +20,8 @@
     DEPENDENCY_REGAINED,
     /** The platform's store came back from an older copy, so that offsets are given out again. */
     STORE_FELL_BACK,
+    /** Other daemons were asked for records that the platform's store may have lost. */
+    RECORDS_RECOVERED,
     /** A new version of the configuration took effect. */
     CONFIGURATION_ACCEPTED,
     /** A target was added, changed its state or was removed. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
@@ -68,6 +68,11 @@
         return announced.orElse(0);
     }
 
+    /** Returns whether the store announces its era, so that it may have lost records. */
+    public boolean isAnnounced() {
+        return announced.isPresent();
+    }
+
     /** Returns how often the store has come back from an older copy since this object exists. */
     public long fallbacks() {
         return fallbacks;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -130,6 +130,7 @@
     private long reportSequence;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean quarantineRead;
+    private boolean recoveredAtStart;
     private boolean stopping;
 
     private Gateway(GatewaySettings settings, PlatformAdapter platform) {
@@ -275,6 +276,8 @@
                 callerDaemons,
                 this::isReady,
                 this::isOrderHolder,
+                storeEra::isAnnounced,
+                this::isQuarantineRead,
                 operatorFreshness,
                 pauses,
                 updater,
@@ -504,7 +507,7 @@
 
     @Override
     public boolean isReady() {
-        return !stopping && clusterView.isReady() && isQuarantineRead();
+        return !stopping && clusterView.isReady() && isQuarantineRead() && isRecoveredAtStart();
     }
 
     /** Returns whether the quarantined contents were read at the start, or waited for in vain. */
@@ -516,6 +519,13 @@
         return quarantineRead;
     }
 
+    /** Returns whether other daemons were asked for what the store may have lost. */
+    private boolean isRecoveredAtStart() {
+        // A store that is reached later must not end the readiness.
+        recoveredAtStart = recoveredAtStart || feeds.isRecoveredAtStart();
+        return recoveredAtStart;
+    }
+
     /** Returns whether no other daemon that is ready has a name before this one's. */
     private boolean isFirstByName() {
         return clusterView.daemons().aliveReports().stream()
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -29,6 +29,7 @@
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.control.AuxiliaryHttpServer;
 import org.bergamothoist.gateway.control.ReaderPoller;
+import org.bergamothoist.gateway.control.RecordRecovery;
 import org.bergamothoist.gateway.control.RecordRelay;
 import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
@@ -64,9 +65,13 @@
     private final FeedFollower daemonsFeed;
     private final RecordRelay relay;
     private final ReaderPoller poller;
+    private final RecordRecovery recovery;
+    private final BooleanSupplier lossesPossible;
+    private final BooleanSupplier addressesRead;
     private final Histogram operatorAge;
     private final Histogram targetsAge;
     private Instant readersChosenAt = Instant.EPOCH;
+    private boolean fallbackRecoveryDue;
 
     /**
      * Creates the feeds of a daemon, which are not read yet.
@@ -74,6 +79,10 @@
      * @param self this daemon
      * @param selfReady returns whether this daemon is ready
      * @param orderHolder returns whether this daemon holds the lease for orders to engines
+     * @param lossesPossible returns whether the store announces an era, so that it may have lost
+     *     records
+     * @param addressesRead returns whether other daemons' addresses were read, or waited for in
+     *     vain
      * @param operatorFreshness bounds the age of operators' records
      * @param listener handles new records
      */
@@ -86,6 +95,8 @@
             CallerDaemons callerDaemons,
             BooleanSupplier selfReady,
             BooleanSupplier orderHolder,
+            BooleanSupplier lossesPossible,
+            BooleanSupplier addressesRead,
             FeedFreshness operatorFreshness,
             PauseDetector pauses,
             FeedMirror.FeedListener listener,
@@ -101,6 +112,8 @@
         this.callerDaemons = callerDaemons;
         this.selfReady = selfReady;
         this.orderHolder = orderHolder;
+        this.lossesPossible = lossesPossible;
+        this.addressesRead = addressesRead;
         this.scheduler = scheduler;
         this.clock = clock;
         this.metrics = metrics;
@@ -115,7 +128,7 @@
                         self.name(), self.dataCentre(), paces.relayLimits(), clock, log);
         FeedSource countedStore = new CountedSource(store, metrics);
         FeedFollower.Observer observer =
-                new MirroringFeedObserver(feeds, clusterView.targets(), feed -> {}, log);
+                new MirroringFeedObserver(feeds, clusterView.targets(), this::onListed, log);
         this.operatorFeed =
                 new FeedFollower(
                         Feed.OPERATOR,
@@ -145,21 +158,7 @@
                         clock,
                         random,
                         observer);
-        this.relay =
-                new RecordRelay(
-                        feeds,
-                        clusterView,
-                        call -> {
-                            metrics.counter("relay-calls").inc();
-                            return peers.call(call);
-                        },
-                        () -> !isStoreReachable() || needsVersionDates() && !role.isPolling(),
-                        this::needsVersionDates,
-                        targetsFeed::isSuspended,
-                        scheduler,
-                        clock,
-                        random,
-                        log);
+        this.relay = createRelay(peers, random, log);
         this.poller =
                 new ReaderPoller(
                         role,
@@ -169,11 +168,44 @@
                         this::updateRole,
                         scheduler,
                         random);
+        this.recovery = createRecovery(random, log);
+        clusterView.daemons().addListener(recovery::onReport);
         this.operatorAge = metrics.histogram("operator-records-age-milliseconds");
         this.targetsAge = metrics.histogram("target-records-age-milliseconds");
         metrics.gauge("store-reader", () -> () -> role.isReading() ? 1 : 0);
     }
 
+    private RecordRelay createRelay(
+            RecordRelay.PeerClient peers, DoubleSupplier random, DecisionLog log) {
+        return new RecordRelay(
+                feeds,
+                clusterView,
+                call -> {
+                    metrics.counter("relay-calls").inc();
+                    return peers.call(call);
+                },
+                () -> !isStoreReachable() || needsVersionDates() && !role.isPolling(),
+                this::needsVersionDates,
+                targetsFeed::isSuspended,
+                scheduler,
+                clock,
+                random,
+                log);
+    }
+
+    private RecordRecovery createRecovery(DoubleSupplier random, DecisionLog log) {
+        return new RecordRecovery(
+                relay,
+                clusterView.daemons(),
+                clusterView.configuration(),
+                self.peerAddress(),
+                paces.longestOperatorRead(),
+                scheduler,
+                clock,
+                random,
+                log);
+    }
+
     /** Counts the reads of the store. */
     private record CountedSource(FeedSource store, MetricRegistry metrics) implements FeedSource {
 
@@ -214,6 +246,34 @@
         operatorFeed.restart();
         targetsFeed.restart();
         daemonsFeed.restart();
+        fallbackRecoveryDue = true;
+    }
+
+    private void onListed(Feed feed) {
+        if (feed == Feed.OPERATOR) {
+            recoverAfterFallbackIfDue();
+        }
+        recoverAtStartIfPossible();
+    }
+
+    private void recoverAfterFallbackIfDue() {
+        if (fallbackRecoveryDue) {
+            fallbackRecoveryDue = false;
+            recovery.recoverAfterFallback();
+        }
+    }
+
+    private void recoverAtStartIfPossible() {
+        if (lossesPossible.getAsBoolean()
+                && (operatorFeed.isReachable() || clusterView.isReady())
+                && addressesRead.getAsBoolean()) {
+            recovery.recoverAtStart();
+        }
+    }
+
+    /** Returns whether this daemon has learned from others at its start what the store lacks. */
+    boolean isRecoveredAtStart() {
+        return !lossesPossible.getAsBoolean() || recovery.isStartCompleted();
     }
 
     /** Starts to read other daemons' addresses. */
@@ -223,6 +283,10 @@
 
     private void check() {
         updateRole();
+        recoverAtStartIfPossible();
+        if (operatorFeed.isSuspended()) {
+            recoverAfterFallbackIfDue();
+        }
         scheduler.schedule(CHECK_INTERVAL, this::check);
     }
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
@@ -200,6 +200,8 @@
                             callerDaemons,
                             () -> true,
                             () -> false,
+                            () -> true,
+                            () -> true,
                             new FeedFreshness(LIMIT, pauses, time),
                             pauses,
                             this,
