--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
@@ -19,11 +19,17 @@
     private static final int ENDED_STATE = 5;
 
     private final List<String> changes = new ArrayList<>();
-    private final FeedMirror mirror = new FeedMirror(new States());
+    private final FeedMirror mirror = new FeedMirror(new States(ENDED_STATE));
 
     /** Records state a number; a greater one is later. */
     private final class States implements FeedMirror.FeedListener {
 
+        private final int endedState;
+
+        private States(int endedState) {
+            this.endedState = endedState;
+        }
+
         @Override
         public void onRecord(Feed feed, FeedRecord record) {
             changes.add(record.key() + state(record));
@@ -34,7 +40,7 @@
             return record.value().isPresent()
                     && (other.value().isPresent()
                             ? state(record) < state(other)
-                            : state(record) <= ENDED_STATE);
+                            : state(record) <= endedState);
         }
     }
 
@@ -149,7 +155,7 @@
         mirror.apply(Feed.TARGETS, page(1, 51, record("k", -1, 1, 50)));
         mirror.restart(Feed.TARGETS, 2);
         mirror.apply(Feed.TARGETS, listing(2, 3, record("k", 5, 2, 2)));
-        FeedMirror started = new FeedMirror(new States());
+        FeedMirror started = new FeedMirror(new States(-1));
         started.apply(Feed.TARGETS, listing(2, 3, record("k", 5, 2, 2)));
         changes.clear();
         started.applyRelayed(
