Test fleets whose store falls back, with daemons that get the records from others

StoreFeedsModel counts eras; the store can lose its newest records, and every answer tells the daemons its era.

--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsFleetTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsFleetTest.java
@@ -81,6 +81,43 @@
         assertThat(few.messagesPerSecond()).isLessThan(MOST_MESSAGES_PER_SECOND);
     }
 
+    /**
+     * Guards against records of a new era that daemons pass over, among them those that get the
+     * records from others, and against calls that a fallback multiplies.
+     */
+    @ParameterizedTest
+    @CsvSource({"6", "77", "300"})
+    void fallbackLosesNoRecordsAndMultipliesNoCalls(int daemons) {
+        StoreFeedsModel model = new StoreFeedsModel(daemons, DEFAULT_READERS);
+        model.settle();
+        model.beginWrites();
+        model.time.advanceMillis(8_000);
+        model.pauseWrites();
+        long callsBefore = model.each(daemon -> daemon.calls).sum();
+        long messagesBefore = model.each(daemon -> daemon.messages).sum();
+        model.fallBack(100);
+        model.beginWrites();
+        model.time.advanceMillis(8_000);
+        model.pauseWrites();
+        long calls = model.each(daemon -> daemon.calls).sum() - callsBefore;
+        long messages = model.each(daemon -> daemon.messages).sum() - messagesBefore;
+        model.finish();
+        long[] ages = model.ages(daemon -> true);
+        System.out.printf(
+                "%d daemons, 10 s after a fallback: calls %d (%d before), messages %d (%d),"
+                        + " p99 %d longest %d%n",
+                daemons,
+                calls,
+                callsBefore,
+                messages,
+                messagesBefore,
+                ages[ages.length * 99 / 100],
+                ages[ages.length - 1]);
+        assertThat(ages[ages.length - 1]).isLessThan(StoreFeedsModel.LIMIT.toMillis());
+        assertThat(calls).isLessThan(2 * callsBefore);
+        assertThat(messages).isLessThan(2 * messagesBefore);
+    }
+
     private enum Fault {
         DIES(reader -> reader.dead = true),
         IS_CUT_FROM_THE_STORE(reader -> reader.cutFromStore = true),
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
@@ -24,6 +24,8 @@
 import org.bergamothoist.core.feed.FeedMirror;
 import org.bergamothoist.core.feed.FeedRecord;
 import org.bergamothoist.core.feed.FeedSource;
+import org.bergamothoist.core.feed.LogPosition;
+import org.bergamothoist.core.feed.OutdatedAnswerException;
 import org.bergamothoist.core.gossip.CallerAssignment;
 import org.bergamothoist.core.gossip.DaemonReport;
 import org.bergamothoist.core.identity.DaemonId;
@@ -56,6 +58,7 @@
     private final Map<String, Instant> writes = new LinkedHashMap<>();
     private final Random random = new Random(7);
     private boolean writing;
+    private long era;
     private long sequence;
 
     /** Creates a fleet, a tenth of which has large VMs, with four data centres. */
@@ -105,7 +108,12 @@
     private void append(Feed feed, String key, String state) {
         byte[] value = (state + "|" + sequence++ + CONTENT).getBytes(StandardCharsets.UTF_8);
         List<FeedRecord> records = store.get(feed);
-        records.add(new FeedRecord(key, records.size(), Optional.of(value)));
+        LogPosition position = new LogPosition(era, records.size());
+        records.add(new FeedRecord(key, position, Optional.of(value)));
+        wakeWaiting();
+    }
+
+    private void wakeWaiting() {
         List<Runnable> woken = List.copyOf(waiting);
         waiting.clear();
         woken.forEach(Runnable::run);
@@ -122,6 +130,30 @@
         daemons.forEach(daemon -> daemon.calls = daemon.bytes = daemon.messages = 0);
     }
 
+    /** Has the store lose the newest records of each feed, and give out their offsets again. */
+    void fallBack(int lostRecords) {
+        era++;
+        store.values()
+                .forEach(
+                        records -> {
+                            int kept = Math.max(0, records.size() - lostRecords);
+                            records.subList(kept, records.size()).clear();
+                            records.replaceAll(
+                                    record ->
+                                            new FeedRecord(
+                                                    record.key(),
+                                                    new LogPosition(era, record.offset()),
+                                                    record.value()));
+                        });
+        wakeWaiting();
+    }
+
+    /** Stops writing the records whose arrivals are measured, until all have them. */
+    void pauseWrites() {
+        writing = false;
+        time.advance(LIMIT);
+    }
+
     /** Begins to write the records whose arrivals are measured. */
     void beginWrites() {
         writing = true;
@@ -170,6 +202,7 @@
         private final CallerDaemons callerDaemons;
         private final Map<String, Instant> arrivals = new LinkedHashMap<>();
         private long reports;
+        private long knownEra;
 
         private Daemon(int index, int storeReaders) {
             String name = "daemon-%03d".formatted(index);
@@ -266,7 +299,8 @@
             CompletableFuture<Page> answer = new CompletableFuture<>();
             if (startCall(answer, wait)) {
                 Instant until = time.instant().plus(wait);
-                time.schedule(LATENCY, () -> answerRead(feed, from, until, answer));
+                long sentIn = era;
+                time.schedule(LATENCY, () -> answerRead(feed, from, until, sentIn, answer));
             }
             return answer;
         }
@@ -286,10 +320,18 @@
         }
 
         private void answerRead(
-                Feed feed, long from, Instant until, CompletableFuture<Page> answer) {
+                Feed feed, long from, Instant until, long sentIn, CompletableFuture<Page> answer) {
+            if (sentIn != era) {
+                deliver(
+                        List.of(),
+                        () ->
+                                answer.completeExceptionally(
+                                        new OutdatedAnswerException("sent in era " + sentIn)));
+                return;
+            }
             List<FeedRecord> all = store.get(feed);
             if (all.size() <= from && time.instant().isBefore(until)) {
-                Runnable again = () -> answerRead(feed, from, until, answer);
+                Runnable again = () -> answerRead(feed, from, until, sentIn, answer);
                 waiting.add(again);
                 time.schedule(
                         Duration.between(time.instant(), until),
@@ -301,7 +343,8 @@
                 return;
             }
             List<FeedRecord> page = List.copyOf(all.subList((int) from, all.size()));
-            deliver(page, () -> answer.complete(new Page(page, from + page.size())));
+            LogPosition next = new LogPosition(era, from + page.size());
+            deliver(page, () -> answer.complete(new Page(page, next)));
         }
 
         @Override
@@ -311,7 +354,7 @@
                 Map<String, FeedRecord> newest = new LinkedHashMap<>();
                 store.get(feed).forEach(record -> newest.put(record.key(), record));
                 List<FeedRecord> records = List.copyOf(newest.values());
-                long end = store.get(feed).size();
+                LogPosition end = new LogPosition(era, store.get(feed).size());
                 deliver(records, () -> answer.complete(new Listing(records, end)));
             }
             return answer;
@@ -320,7 +363,18 @@
         private void deliver(List<FeedRecord> records, Runnable completion) {
             bytes += records.stream().mapToLong(record -> record.value().get().length).sum();
             messages += 2;
-            time.schedule(LATENCY.plus(storeDelay), () -> runUnlessDead(completion));
+            long answerEra = era;
+            time.schedule(
+                    LATENCY.plus(storeDelay),
+                    () -> runUnlessDead(() -> handle(answerEra, completion)));
+        }
+
+        private void handle(long answerEra, Runnable completion) {
+            if (answerEra > knownEra) {
+                knownEra = answerEra;
+                feeds.onStoreFallback(answerEra);
+            }
+            completion.run();
         }
 
         private void runUnlessDead(Runnable completion) {
