Count recoveries of records, and keep a failure in one from ending the reads

A recovery at the start began within the handling of a listing; an error in it would have ended the reads of that feed. It is a task of its own now. The counter record-recoveries shows operators how often a daemon has asked others for what the store may have lost.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -203,6 +203,7 @@
                 scheduler,
                 clock,
                 random,
+                metrics,
                 log);
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRecovery.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRecovery.java
@@ -1,5 +1,6 @@
 package org.bergamothoist.gateway.control;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -47,6 +48,7 @@
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final DoubleSupplier random;
+    private final MetricRegistry metrics;
     private final DecisionLog log;
     private final Map<String, Instant> newerConfigurationSince = new HashMap<>();
     private boolean started;
@@ -68,6 +70,7 @@
             Scheduler scheduler,
             InstantSource clock,
             DoubleSupplier random,
+            MetricRegistry metrics,
             DecisionLog log) {
         this.relay = relay;
         this.daemons = daemons;
@@ -77,6 +80,7 @@
         this.scheduler = scheduler;
         this.clock = clock;
         this.random = random;
+        this.metrics = metrics;
         this.log = log;
     }
 
@@ -87,7 +91,8 @@
         }
         started = true;
         Round round = new Round("start", addresses(), () -> startCompleted = true);
-        round.begin();
+        // A failure here must not end the reads that lead to it.
+        scheduler.execute(round::begin);
     }
 
     /** Returns whether the daemons asked at the start have answered, or were waited for in vain. */
@@ -165,6 +170,7 @@
         }
 
         private void begin() {
+            metrics.counter("record-recoveries").inc();
             scheduler.schedule(RecordRelay.REQUEST_TIMEOUT, () -> end("time is over"));
             proceed();
         }
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsFleetTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsFleetTest.java
@@ -81,15 +81,22 @@
         assertThat(few.messagesPerSecond()).isLessThan(MOST_MESSAGES_PER_SECOND);
     }
 
+    /** Returns how often a daemon has asked others for what the store may have lost. */
+    private static long recoveries(StoreFeedsModel.Daemon daemon) {
+        return daemon.metrics.counter("record-recoveries").getCount();
+    }
+
     /**
      * Guards against records of a new era that daemons pass over, among them those that get the
-     * records from others, and against calls that a fallback multiplies.
+     * records from others, against calls that a fallback multiplies, and against a daemon that does
+     * not ask the others once at its start and once after the fallback.
      */
     @ParameterizedTest
     @CsvSource({"6", "77", "300"})
     void fallbackLosesNoRecordsAndMultipliesNoCalls(int daemons) {
         StoreFeedsModel model = new StoreFeedsModel(daemons, DEFAULT_READERS);
         model.settle();
+        assertThat(model.each(StoreFeedsFleetTest::recoveries)).containsOnly(1L);
         model.beginWrites();
         model.time.advanceMillis(8_000);
         model.pauseWrites();
@@ -102,6 +109,7 @@
         long calls = model.each(daemon -> daemon.calls).sum() - callsBefore;
         long messages = model.each(daemon -> daemon.messages).sum() - messagesBefore;
         model.finish();
+        assertThat(model.each(StoreFeedsFleetTest::recoveries)).containsOnly(2L);
         long[] ages = model.ages(daemon -> true);
         System.out.printf(
                 "%d daemons, 10 s after a fallback: calls %d (%d before), messages %d (%d),"
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/StoreFeedsModel.java
@@ -197,6 +197,7 @@
         long bytes;
         long messages;
         final StoreFeeds feeds;
+        final MetricRegistry metrics = new MetricRegistry();
         private final CallerAssignment.Candidate self;
         private final ClusterView clusterView;
         private final CallerDaemons callerDaemons;
@@ -241,7 +242,7 @@
                             time,
                             time,
                             random::nextDouble,
-                            new MetricRegistry(),
+                            metrics,
                             (kind, subject, inputs, outcome) -> {});
         }
 
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRecoveryTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/RecordRecoveryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.time.Duration;
 import java.time.Instant;
@@ -47,6 +48,7 @@
                     time,
                     time,
                     () -> 0.5,
+                    new MetricRegistry(),
                     (kind, subject, inputs, outcome) -> outcomes.add(outcome));
     private Behaviour behaviour = Behaviour.ANSWERS;
     private long sequence;
@@ -155,7 +157,7 @@
         Instant before = time.instant();
         recovery.recoverAtStart();
         recovery.recoverAtStart();
-        time.advanceMillis(milliseconds - 1);
+        time.advanceMillis(Math.max(0, milliseconds - 1));
         assertThat(recovery.isStartCompleted()).isEqualTo(milliseconds == 0);
         time.advance(Duration.between(time.instant(), before.plusMillis(milliseconds)));
         assertThat(recovery.isStartCompleted()).isTrue();
@@ -173,6 +175,7 @@
             report("alive-" + index, 0);
         }
         recovery.recoverAtStart();
+        time.advanceMillis(0);
         assertThat(called)
                 .hasSize(RecordRecovery.MAXIMUM_ANSWERS)
                 .allMatch(address -> address.startsWith("alive-"));
