Write again what daemons wrote to the store and its copy lacks

When the store comes back from an older copy, daemons' addresses and records of refused contents of the last seconds are gone, and deletions of such records are undone. Daemons took the first acknowledgement for lasting: the address was never written again, a daemon that started when the others had ended sent refused content on, and the record of a released content stayed.

A record whose losses were all cleared is deleted again.

StoreFallbackRecordsTest (over sockets, 5 cases) and QuarantineRecordsTest (6 cases) hold.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
@@ -288,6 +288,14 @@
         return positions.get(feed);
     }
 
+    /** Returns the known records that were read in the current era, so that the store has them. */
+    public List<FeedRecord> storedRecords(Feed feed) {
+        return recordsByFeed.get(feed).values().stream()
+                .filter(known -> !known.retained())
+                .map(KnownRecord::record)
+                .toList();
+    }
+
     /**
      * Returns the newest record of each key that has changed after the position; records that only
      * renew what a key's record said up to there are left out.
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import org.bergamothoist.core.quota.OrganisationQuotas;
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.rollout.RolloutSettings;
+import org.bergamothoist.core.time.Jitter;
 import org.bergamothoist.core.time.MonotonicClock;
 import org.bergamothoist.core.time.PauseDetector;
 import org.bergamothoist.core.time.Scheduler;
@@ -65,6 +66,7 @@
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.ClusterViewUpdater;
 import org.bergamothoist.gateway.state.CommonOutageDetector;
+import org.bergamothoist.gateway.state.RecordDecoder;
 import org.bergamothoist.gateway.wire.WireDialect;
 
 /** One daemon: wires its parts, starts them and stops them. All parts run on one event loop. */
@@ -76,9 +78,6 @@
     /** Time between two checks above which the process did not run in between. */
     private static final Duration LONGEST_CHECK_INTERVAL = LAPSE_CHECK.multipliedBy(2);
 
-    /** Pause before the own address is published again after a failure. */
-    private static final Duration PUBLISH_PAUSE = Duration.ofMillis(500);
-
     /** Time after the start for which readiness waits for the list of quarantined contents. */
     private static final Duration QUARANTINE_READ_TIMEOUT = Duration.ofSeconds(1);
 
@@ -109,11 +108,13 @@
     private final PauseDetector pauses;
     private final FeedFreshness operatorFreshness;
     private final StoreEra storeEra;
+    private final RecordDecoder decoder;
     private final PlatformAdapter.Store store;
     private final ContentQuarantine quarantine;
     private final Instant createdAt;
     private final ClusterViewUpdater updater;
     private final StoreFeeds feeds;
+    private final OwnAddressRecord ownAddress;
     private final ActiveAttempts activeAttempts = new ActiveAttempts(this::onDispatched);
     private final CallerServer callers;
     private final AuxiliaryHttpServer readiness;
@@ -164,13 +165,15 @@
                 pools.targets(clusterView.targetStates(), crossing::recordConnectTime);
         HttpCaller controlCaller = new HttpCaller(pools.control(), eventLoop, heldBytes);
         this.storeEra = new StoreEra(log);
+        this.decoder = platform.decoder();
         this.store = platform.store(settings.store(), controlCaller, storeEra);
         metrics.gauge("store-era", () -> storeEra::current);
         metrics.gauge("store-fallbacks", () -> storeEra::fallbacks);
         metrics.gauge("store-answers-dropped", () -> storeEra::droppedAnswers);
         this.quarantine = createQuarantine(targets, platform.dialect());
-        this.updater = createUpdater(platform, targets);
+        this.updater = createUpdater(targets);
         this.feeds = createFeeds(controlCaller);
+        this.ownAddress = createOwnAddress();
 
         this.callers =
                 new CallerServer(
@@ -212,6 +215,16 @@
                 new PlannedStop(self, settings.graceSeconds(), callers, scheduler, clock, log);
     }
 
+    private OwnAddressRecord createOwnAddress() {
+        return new OwnAddressRecord(
+                () -> store.publish(self.name(), settings.peers()),
+                this::isOwnAddressStored,
+                feeds::startDaemons,
+                scheduler,
+                random,
+                log);
+    }
+
     private ContentQuarantine createQuarantine(ConnectionPool targets, WireDialect dialect) {
         return new ContentQuarantine(
                 clusterView,
@@ -228,15 +241,9 @@
                 log);
     }
 
-    private ClusterViewUpdater createUpdater(PlatformAdapter platform, ConnectionPool targets) {
+    private ClusterViewUpdater createUpdater(ConnectionPool targets) {
         return new ClusterViewUpdater(
-                clusterView,
-                platform.decoder(),
-                targets,
-                operatorFreshness,
-                clock,
-                quarantine,
-                log);
+                clusterView, decoder, targets, operatorFreshness, clock, quarantine, log);
     }
 
     private ReportExchange createReports() {
@@ -383,7 +390,7 @@
                         metricsServer.listen(ConnectionPool.socketAddress(settings.metrics())),
                         reports.open(ConnectionPool.socketAddress(settings.peers())));
         storeEra.addListener((before, after) -> lease.onStoreFallback());
-        storeEra.addListener((before, after) -> feeds.onStoreFallback(after));
+        storeEra.addListener((before, after) -> onStoreFallback(after));
         bound.forEach(
                 future ->
                         future.addListener(
@@ -396,7 +403,8 @@
                                 }));
         settings.seeds().forEach(clusterView.daemons()::addCandidate);
         feeds.start();
-        publish();
+        // Written before others' are read, so that of two daemons that start one sees both.
+        ownAddress.write();
         rollout.start();
         caches.start();
         quarantine.records().start();
@@ -408,22 +416,26 @@
                 "listening");
     }
 
-    /** Publishes the own address before reading others', so that of two daemons one sees both. */
-    private void publish() {
-        store.publish(self.name(), settings.peers())
-                .whenComplete(
-                        (done, failure) -> {
-                            if (failure == null) {
-                                feeds.startDaemons();
-                                return;
-                            }
-                            log.write(
-                                    DecisionKind.DEPENDENCY_LOST,
-                                    "store",
-                                    () -> "own address: " + failure,
-                                    "not published, will be repeated");
-                            scheduler.schedule(PUBLISH_PAUSE, this::publish);
-                        });
+    private void onStoreFallback(long era) {
+        feeds.onStoreFallback(era);
+        quarantine.records().onStoreFallback();
+        scheduler.schedule(
+                Jitter.delay(Duration.ZERO, OwnAddressRecord.RESTORE_SPREAD, random),
+                this::restoreRecords);
+    }
+
+    /** Writes again what this daemon wrote to the store, unless the store's copy has it. */
+    private void restoreRecords() {
+        ownAddress.restore();
+        quarantine.records().restore();
+    }
+
+    private boolean isOwnAddressStored() {
+        return feeds.storedDaemonsRecords().stream()
+                .filter(record -> decoder.quarantinedContentKey(record.key()).isEmpty())
+                .flatMap(record -> record.value().stream())
+                .flatMap(value -> decoder.daemonAddress(value).stream())
+                .anyMatch(settings.peers()::equals);
     }
 
     private void onPause(Duration pause) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -19,6 +19,7 @@
 import org.bergamothoist.core.feed.FeedFollower;
 import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
+import org.bergamothoist.core.feed.FeedRecord;
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.feed.ReplicatedFeeds;
 import org.bergamothoist.core.feed.StoreReaderAssignment;
@@ -281,6 +282,11 @@
         daemonsFeed.start();
     }
 
+    /** Returns the records of the daemons' feed that the store has in its current era. */
+    List<FeedRecord> storedDaemonsRecords() {
+        return feeds.mirror().storedRecords(Feed.DAEMONS);
+    }
+
     private void check() {
         updateRole();
         recoverAtStartIfPossible();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/ContentQuarantine.java
@@ -45,7 +45,8 @@
      * Creates a quarantine without contents.
      *
      * @param cleaning whether this daemon deletes records whose refusal has ended
-     * @param probing whether this daemon sends single requests that may clear refused parts
+     * @param first whether this daemon sends single requests that may clear refused parts, and
+     *     restores records that the store has lost; usually true for one of the daemons
      * @param onChange called when other daemons should learn of a change soon
      */
     public ContentQuarantine(
@@ -54,7 +55,7 @@
             WireDialect dialect,
             PlatformAdapter.Store store,
             BooleanSupplier cleaning,
-            BooleanSupplier probing,
+            BooleanSupplier first,
             Runnable onChange,
             Scheduler scheduler,
             InstantSource clock,
@@ -76,8 +77,9 @@
                         scheduler,
                         clock,
                         log);
-        this.probes = new PartProbes(quarantine, probing, clock, log);
-        this.records = new QuarantineRecords(store, quarantine, cleaning, scheduler, clock, log);
+        this.probes = new PartProbes(quarantine, first, clock, log);
+        this.records =
+                new QuarantineRecords(store, quarantine, cleaning, first, scheduler, clock, log);
         metrics.gauge("quarantined-contents", () -> quarantine::quarantinedCount);
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/QuarantineRecords.java
@@ -3,15 +3,21 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.GossipQuarantine;
+import org.bergamothoist.core.quarantine.SuspectContents;
 import org.bergamothoist.core.quarantine.SuspectReport;
+import org.bergamothoist.core.quarantine.TargetLoss;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.PlatformAdapter;
 import org.bergamothoist.gateway.state.QuarantinedContent;
@@ -19,6 +25,10 @@
 /**
  * Keeps quarantined contents in the platform's store: daemons that start learn of them there, and
  * operators see them and release one by deleting its record. Confined to the event loop.
+ *
+ * <p>When the store comes back from an older copy, it may have lost records, which are written
+ * again, and deletions, which are repeated: by the daemons that wrote the record and by one that is
+ * chosen among all, since the writer may have ended.
  */
 public final class QuarantineRecords {
 
@@ -27,33 +37,49 @@
     /** Interval between the deletions of records whose refusal has ended. */
     private static final Duration CLEANING_INTERVAL = Duration.ofSeconds(30);
 
-    /** Maximum number of records deleted at once, so that the store's calls stay few. */
-    private static final int MAXIMUM_DELETIONS = 10;
+    /** Maximum number of records written at once, so that the store's calls stay few. */
+    private static final int MAXIMUM_WRITES = 10;
 
     private final PlatformAdapter.Store store;
     private final GossipQuarantine quarantine;
     private final BooleanSupplier cleaning;
+    private final BooleanSupplier restoring;
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final DecisionLog log;
-    private final Map<Fingerprint, Instant> storedUntil = new HashMap<>();
+    private final Map<Fingerprint, StoredRecord> stored = new HashMap<>();
+
+    /** Origins of the contents whose records this daemon has written, while losses are known. */
+    private final Map<Fingerprint, String> written = new HashMap<>();
+
+    /** Contents whose records have not been seen since the store fell back. */
+    private final Set<Fingerprint> missing = new LinkedHashSet<>();
+
+    /** Contents with a record whose losses were all cleared: its deletion was lost. */
+    private final Set<Fingerprint> withdrawn = new LinkedHashSet<>();
+
+    private record StoredRecord(String origin, Instant refusedUntil) {}
 
     /**
      * Creates the records.
      *
      * @param cleaning whether this daemon deletes records whose refusal has ended; true for one of
      *     the daemons at most
+     * @param restoring whether this daemon also restores other daemons' records after the store has
+     *     fallen back
      */
     public QuarantineRecords(
             PlatformAdapter.Store store,
             GossipQuarantine quarantine,
             BooleanSupplier cleaning,
+            BooleanSupplier restoring,
             Scheduler scheduler,
             InstantSource clock,
             DecisionLog log) {
         this.store = store;
         this.quarantine = quarantine;
         this.cleaning = cleaning;
+        this.restoring = restoring;
         this.scheduler = scheduler;
         this.clock = clock;
         this.log = log;
@@ -68,19 +94,59 @@
         Instant now = clock.instant();
         if (cleaning.getAsBoolean()) {
             List<Fingerprint> over =
-                    storedUntil.entrySet().stream()
-                            .filter(entry -> entry.getValue().isBefore(now))
+                    stored.entrySet().stream()
+                            .filter(entry -> entry.getValue().refusedUntil().isBefore(now))
                             .map(Map.Entry::getKey)
-                            .limit(MAXIMUM_DELETIONS)
+                            .limit(MAXIMUM_WRITES)
                             .toList();
             over.forEach(this::delete);
         }
+        written.keySet().removeIf(content -> quarantine.losses(content).isEmpty());
+        restore();
         scheduler.schedule(CLEANING_INTERVAL, this::clean);
     }
 
+    /** Notes that the store may have lost records; those that are read again are not missing. */
+    public void onStoreFallback() {
+        missing.addAll(stored.keySet());
+        missing.addAll(written.keySet());
+        withdrawn.clear();
+    }
+
+    /**
+     * Writes missing records of contents that are still refused, and repeats lost deletions. To be
+     * called some time after the store has fallen back.
+     */
+    public void restore() {
+        missing.removeIf(content -> !quarantine.isQuarantined(content));
+        for (Fingerprint content : toRestore(missing)) {
+            missing.remove(content);
+            publish(content, origin(content));
+        }
+        for (Fingerprint content : toRestore(withdrawn)) {
+            withdrawn.remove(content);
+            delete(content);
+        }
+        if (!toRestore(missing).isEmpty() || !toRestore(withdrawn).isEmpty()) {
+            scheduler.schedule(RETRY_PAUSE, this::restore);
+        }
+    }
+
+    private List<Fingerprint> toRestore(Collection<Fingerprint> contents) {
+        return contents.stream()
+                .filter(content -> written.containsKey(content) || restoring.getAsBoolean())
+                .limit(MAXIMUM_WRITES)
+                .toList();
+    }
+
+    private String origin(Fingerprint content) {
+        String ownOrigin = written.get(content);
+        return ownOrigin == null ? stored.get(content).origin() : ownOrigin;
+    }
+
     /** Deletes the record of a content that is served again before its refusal was to end. */
     public void onServedAgain(Fingerprint content) {
-        if (storedUntil.containsKey(content)) {
+        if (stored.containsKey(content)) {
             delete(content);
         }
     }
@@ -109,6 +175,7 @@
         if (!quarantine.isQuarantined(content)) {
             return;
         }
+        written.put(content, origin);
         var record =
                 new QuarantinedContent(
                         content,
@@ -123,7 +190,8 @@
                                 scheduler.schedule(RETRY_PAUSE, () -> publish(content, origin));
                                 return;
                             }
-                            storedUntil.put(content, record.refusedUntil());
+                            missing.remove(content);
+                            stored.put(content, new StoredRecord(origin, record.refusedUntil()));
                             delete(content);
                         });
     }
@@ -140,9 +208,12 @@
     public void onRecord(QuarantinedContent record) {
         Instant now = clock.instant();
         Instant latest = now.plus(GossipQuarantine.RETENTION);
-        storedUntil.put(
+        stored.put(
                 record.content(),
-                record.refusedUntil().isAfter(latest) ? latest : record.refusedUntil());
+                new StoredRecord(
+                        record.origin(),
+                        record.refusedUntil().isAfter(latest) ? latest : record.refusedUntil()));
+        missing.remove(record.content());
         List<SuspectReport.ReportedLoss> losses =
                 record.losses().stream()
                         .map(
@@ -154,6 +225,25 @@
                                                 loss.cleared()))
                         .toList();
         quarantine.merge(List.of(new SuspectReport(record.content(), losses)), "store");
+        withdrawn.remove(record.content());
+        if (isWithdrawn(record)) {
+            withdrawn.add(record.content());
+            // Its deletion may follow in the same page.
+            scheduler.schedule(RETRY_PAUSE, this::restore);
+        }
+    }
+
+    /** Returns whether all losses of a record were cleared, by a completion or by its deletion. */
+    private boolean isWithdrawn(QuarantinedContent record) {
+        Set<TargetLoss> cleared =
+                quarantine.losses(record.content()).stream()
+                        .filter(SuspectContents.Loss::cleared)
+                        .map(SuspectContents.Loss::target)
+                        .collect(Collectors.toSet());
+        return !record.losses().isEmpty()
+                && record.losses().stream()
+                        .map(SuspectContents.Loss::target)
+                        .allMatch(cleared::contains);
     }
 
     /** Another daemon's clock may be ahead of this one's, and a record may have any times. */
@@ -164,7 +254,9 @@
 
     /** Releases a content whose record was deleted. */
     public void onDeleted(Fingerprint content) {
-        if (storedUntil.remove(content) != null) {
+        missing.remove(content);
+        withdrawn.remove(content);
+        if (stored.remove(content) != null) {
             quarantine.onReleased(content);
         }
     }
