Believe no end of a malformed answer of the store

A malformed page, an append that was answered with another offset than it named or without one, and a body that was no listing had set the end of the topic that is known, before they were rejected or at all. A low end was a fallback, a high one made all later answers of the topic look outdated, and {"end":5} passed for a listing without records, which deletes all known keys.

An append at an offset that was given out before is a fallback where no era is announced.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
@@ -136,6 +136,17 @@
         ends.put(call.topic(), end);
     }
 
+    /**
+     * Handles the answer to an append: the topic ended at the record's offset before, so that an
+     * offset that was given out before shows a fallback.
+     *
+     * @see #onEnd
+     */
+    public void onAppended(SentCall call, long offset, long end) {
+        onEnd(call, offset);
+        ends.merge(call.topic(), end, Math::max);
+    }
+
     /**
      * Throws {@link OutdatedAnswerException} if the store has fallen back since a call was sent, so
      * that an offset in it was of an earlier era. To be called after the answer was handled.
