Refuse requests once the log has lost records that were applied

A daemon on the product's own interface went on with its state when the log came back from an older copy: it read on from its old offset, waited there or applied other records, and confirmed its state as current.

LogTail now notices an end before its own position, and a last record that is another one, reports LOG_FELL_BACK once and applies nothing more. The daemon refuses requests as not run, sends no state to peers, and serves again after a restart. LogAppender took an offset that was given out again for the confirmation of its record.

--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
@@ -115,6 +115,35 @@
         assertWhole(complete(LIMIT, CompletionRequest.of(model, "not cut off", 10)));
     }
 
+    /**
+     * Guards against daemons that run on with records that the log has lost, or that hand them to a
+     * daemon that starts again.
+     */
+    @Test
+    void daemonsRefuseOnceTheLogHasLostRecordsAndServeAfterARestart() throws Exception {
+        startAll(DAEMONS);
+        long end = platform.log().endOffset();
+        assertWhole(complete(LIMIT, CompletionRequest.of(model, "booking", 10).nonIdempotent()));
+        platform.log().down();
+        platform.log().loseRecordsFrom(end);
+        platform.log().recover();
+        List<DaemonInstance> fallenBack = deployment.daemons();
+        for (DaemonInstance daemon : fallenBack) {
+            await(daemon, ConfigurationState.STALE);
+            CompletionResult refused =
+                    CompletionCaller.pinned(transport, caller(SHORT_PATIENCE, address(daemon)))
+                            .complete(CompletionRequest.of(model, "after the fall", 10))
+                            .get(LIMIT.toSeconds(), TimeUnit.SECONDS);
+            assertThat(refused.outcome()).isEqualTo(OutcomeKind.NOT_RUN);
+            assertThat(refused.code()).isEqualTo("CONFIGURATION_STALE");
+        }
+        for (DaemonInstance daemon : fallenBack) {
+            deployment.killDaemon(daemon);
+            await(deployment.restartDaemon(daemon), ConfigurationState.FRESH);
+        }
+        assertWhole(complete(LIMIT, CompletionRequest.of(model, "after the restart", 10)));
+    }
+
     /** Guards against a stream that hangs with its engine. */
     @Test
     void aStreamGoesOnElsewhereWhenItsEngineFreezes() throws Exception {
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/error/ErrorCode.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/error/ErrorCode.java
@@ -27,6 +27,8 @@
     NOT_READY,
     /** The log cannot be reached, so that no claim can be acquired. */
     LOG_UNAVAILABLE,
+    /** The log has come back from an older copy without records that the daemon has applied. */
+    LOG_FELL_BACK,
     /** The identifier of a non-idempotent request is outside the deduplication window. */
     REQUEST_IDENTIFIER_EXPIRED,
     /** A non-idempotent request has no identifier. */
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogAppender.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogAppender.java
@@ -96,7 +96,7 @@
         if (offset != null) {
             append.offset = offset;
         }
-        if (offset != null && offset <= tail.appliedOffset()) {
+        if (offset != null && offset <= tail.appliedOffset() && isApplied(append, offset)) {
             confirm(append, offset);
             return;
         }
@@ -104,6 +104,11 @@
         tail.readNow();
     }
 
+    /** A log that has come back from an older copy may give out the offset of another record. */
+    private boolean isApplied(PendingAppend append, long offset) {
+        return tail.entriesAfter(offset - 1, 1).stream().allMatch(append.matcher);
+    }
+
     private void onDeadline(PendingAppend append, Duration deadline) {
         if (pending.remove(append)) {
             append.responseTimeout.cancel();
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/log/LogTail.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.log.LogRecord.Checkpoint;
 import org.bergamothoist.core.peer.PeerMessage.LogTailRelay;
 import org.bergamothoist.core.platform.LogEntry;
@@ -22,6 +23,12 @@
 /**
  * Polls the log and applies its records to the shared state, each record once and in order.
  * Confined to the control thread.
+ *
+ * <p>A log that has come back from an older copy gives offsets out again, so that the state may
+ * contain records that no longer exist. It cannot be corrected, since records cannot be undone:
+ * once that shows, this object applies nothing any more until the daemon is restarted. It shows if
+ * the log ends before a record that was applied before the read, or if the record that was applied
+ * last is another one now.
  */
 public final class LogTail {
 
@@ -52,6 +59,11 @@
     private final TreeMap<Long, CompletableFuture<Void>> waiters = new TreeMap<>();
 
     private boolean running;
+    private boolean fallenBack;
+
+    /** Whether the log's pages are so short that they end with the record that is read again. */
+    private boolean verificationSkipped;
+
     private boolean rereadRequested;
     private boolean lastReadFailed = true;
     private boolean checkpointNeeded;
@@ -66,11 +78,13 @@
     private static final class PendingRead {
         private final Instant startedAt;
         private final long fromOffset;
+        private final long appliedOffset;
         private Scheduler.Cancellable timeout = () -> {};
 
-        PendingRead(Instant startedAt, long fromOffset) {
+        PendingRead(Instant startedAt, long fromOffset, long appliedOffset) {
             this.startedAt = startedAt;
             this.fromOffset = fromOffset;
+            this.appliedOffset = appliedOffset;
         }
     }
 
@@ -109,6 +123,14 @@
         nextRead.cancel();
     }
 
+    /**
+     * Returns whether the log has lost records that were applied, so that nothing is known of the
+     * state that daemons share.
+     */
+    public boolean hasFallenBack() {
+        return fallenBack;
+    }
+
     /** Returns the offset of the last record applied, 0 if none. */
     public long appliedOffset() {
         return state.appliedOffset();
@@ -116,16 +138,20 @@
 
     /**
      * Returns the time since the shared state was last known to include the whole log, counted from
-     * the start of the read that confirmed it; empty if that has never been the case.
+     * the start of the read that confirmed it; empty if that has never been the case or the log has
+     * fallen back.
      */
     public Optional<Duration> confirmedAge() {
+        if (fallenBack) {
+            return Optional.empty();
+        }
         return Optional.ofNullable(confirmedAt)
                 .map(confirmed -> Duration.between(confirmed, clock.instant()));
     }
 
     /** Returns whether the log responds to reads. */
     public boolean isReachable() {
-        if (lastResponseAt == null) {
+        if (lastResponseAt == null || fallenBack) {
             return false;
         }
         return !lastReadFailed
@@ -187,9 +213,8 @@
             return;
         }
         rereadRequested = false;
-        long from =
-                checkpointSearch.isRunning() ? checkpointSearch.nextOffset() : appliedOffset() + 1;
-        PendingRead read = new PendingRead(clock.instant(), from);
+        long from = checkpointSearch.isRunning() ? checkpointSearch.nextOffset() : nextReadOffset();
+        PendingRead read = new PendingRead(clock.instant(), from, appliedOffset());
         readInFlight = read;
         read.timeout =
                 scheduler.schedule(
@@ -208,6 +233,28 @@
                                 scheduler.execute(() -> onResponse(read, page, failure)));
     }
 
+    /**
+     * The last record is read again to see whether it is still the same. A large one is read again
+     * only after a failed read.
+     */
+    private long nextReadOffset() {
+        boolean verified =
+                !verificationSkipped
+                        && lastApplied()
+                                .filter(last -> lastReadFailed || !isLarge(last))
+                                .isPresent();
+        return verified ? appliedOffset() : appliedOffset() + 1;
+    }
+
+    private static boolean isLarge(LogEntry entry) {
+        return entry.record() instanceof Checkpoint
+                || entry.record() instanceof LogRecord.SheetSubmission;
+    }
+
+    private Optional<LogEntry> lastApplied() {
+        return buffer.entriesAfter(appliedOffset() - 1, 1).stream().findFirst();
+    }
+
     private void onResponse(PendingRead read, LogPage page, Throwable failure) {
         if (failure == null) {
             onPage(read, page);
@@ -254,6 +301,10 @@
             return;
         }
         clearReadInFlight(read);
+        if (isOfOlderCopy(read, page)) {
+            onFallback(page);
+            return;
+        }
         lastReadFailed = false;
         consecutiveFailures = 0;
         lastResponseAt = clock.instant();
@@ -271,7 +322,35 @@
         }
     }
 
+    private boolean isOfOlderCopy(PendingRead read, LogPage page) {
+        return page.endOffset() <= read.appliedOffset
+                || page.entries().stream().anyMatch(this::differsFromApplied);
+    }
+
+    /** Records that this version cannot decode are not compared: a peer may have relayed them. */
+    private boolean differsFromApplied(LogEntry entry) {
+        return !(entry.record() instanceof LogRecord.Unknown)
+                && buffer.entriesAfter(entry.offset() - 1, 1).stream()
+                        .filter(applied -> !(applied.record() instanceof LogRecord.Unknown))
+                        .anyMatch(applied -> !applied.equals(entry));
+    }
+
+    private void onFallback(LogPage page) {
+        fallenBack = true;
+        stop();
+        LOGGER.error(
+                "{}: the log ends at offset {} and has lost records that were applied up to offset"
+                        + " {}; this daemon refuses requests until it is restarted",
+                ErrorCode.LOG_FELL_BACK,
+                page.endOffset(),
+                appliedOffset());
+    }
+
     private void processPage(PendingRead read, LogPage page) {
+        verificationSkipped =
+                read.fromOffset == read.appliedOffset
+                        && page.entries().size() == 1
+                        && page.endOffset() > read.appliedOffset + 1;
         if (checkpointSearch.isRunning() && read.fromOffset == checkpointSearch.nextOffset()) {
             continueCheckpointSearch(page);
         } else {
@@ -311,7 +390,7 @@
     }
 
     private void applyIfNext(LogEntry entry) {
-        if (entry.offset() != appliedOffset() + 1) {
+        if (fallenBack || entry.offset() != appliedOffset() + 1) {
             return;
         }
         ApplyResult result = state.apply(entry);
@@ -372,7 +451,7 @@
             SharedStateSnapshot snapshot, Duration confirmedAge, Duration transit) {
         boolean newer = snapshot.appliedOffset() > appliedOffset();
         boolean nextIsRetained = snapshot.appliedOffset() + 1 >= firstRetainedOffset;
-        if (!newer || (isReachable() && !nextIsRetained)) {
+        if (fallenBack || !newer || (isReachable() && !nextIsRetained)) {
             return false;
         }
         restore(snapshot);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/LogProgressView.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/LogProgressView.java
@@ -31,6 +31,10 @@
 
     /** Returns whether the configuration of this daemon is current enough to serve. */
     ConfigurationState configurationState() {
+        // Neither the last state nor a peer's view of it holds once records have been lost.
+        if (tail.hasFallenBack()) {
+            return ConfigurationState.STALE;
+        }
         List<ConfigurationFreshness.PeerView> views = new ArrayList<>();
         for (PeerSnapshot peer : membership.peers()) {
             Duration confirmedAgeWhenSent = peer.confirmedAge().minus(peer.informationAge());
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerMessageHandler.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/node/PeerMessageHandler.java
@@ -94,6 +94,9 @@
         dependencies.membership().replyToNonMember(sender, address);
         dependencies.load().onHeartbeat(sender, heartbeat.outstanding());
         dependencies.share().onHeartbeat(sender, heartbeat.demand());
+        if (dependencies.tail().hasFallenBack()) {
+            return;
+        }
         long ownOffset = dependencies.tail().appliedOffset();
         if (heartbeat.appliedOffset() > ownOffset) {
             dependencies.tail().readNow();
@@ -112,7 +115,7 @@
     }
 
     private void replyToSnapshotRequest(String address) {
-        if (dependencies.state().appliedOffset() == 0) {
+        if (dependencies.state().appliedOffset() == 0 || dependencies.tail().hasFallenBack()) {
             return;
         }
         dependencies
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/InMemoryLog.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/InMemoryLog.java
@@ -38,6 +38,11 @@
         firstRetainedOffset = Math.max(firstRetainedOffset, offset);
     }
 
+    /** Loses the records from an offset on, which is given out again. */
+    public void loseRecordsFrom(long offset) {
+        entries.subList((int) offset - 1, entries.size()).clear();
+    }
+
     /** Creates a client without faults. */
     public Client client() {
         return new Client();
@@ -64,6 +69,12 @@
         /** Number of reads requested. */
         public int reads;
 
+        /** Number of records returned. */
+        public int recordsRead;
+
+        /** Maximum number of records in a page, whatever is requested. */
+        public int longestPage = Integer.MAX_VALUE;
+
         @Override
         public CompletionStage<Long> append(LogRecord record) {
             appends++;
@@ -90,9 +101,10 @@
                 return new CompletableFuture<>();
             }
             long from = Math.max(fromOffset, firstRetainedOffset);
-            long to = Math.min(entries.size() + 1L, from + maximumRecords);
+            long to = Math.min(entries.size() + 1L, from + Math.min(maximumRecords, longestPage));
             List<LogEntry> page =
                     from >= to ? List.of() : entries.subList((int) from - 1, (int) to - 1);
+            recordsRead += page.size();
             return CompletableFuture.completedFuture(
                     new LogPage(firstRetainedOffset, entries.size() + 1L, page));
         }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogAppenderTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogAppenderTest.java
@@ -90,4 +90,21 @@
         tail.acceptSnapshot(peer.snapshot(), Duration.ZERO, Duration.ZERO);
         assertThat(result).isCompletedWithValue(1L);
     }
+
+    @Test
+    @DisplayName(
+            "guards against a record that counts as applied because its offset was used before")
+    void doesNotConfirmAnOffsetThatIsGivenOutAgain() {
+        for (int index = 0; index < 3; index++) {
+            log.add(sheet("other-" + index, organisation("o", 0, 1)));
+        }
+        time.advance(DEADLINE);
+        log.loseRecordsFrom(1);
+        CompletableFuture<Long> result = append();
+        time.advanceMillis(1);
+        assertThat(tail.hasFallenBack()).isTrue();
+        time.advance(DEADLINE);
+        assertThat(catchThrowable(result::join))
+                .hasCauseInstanceOf(AppendNotConfirmedException.class);
+    }
 }
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/log/LogTailTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class LogTailTest {
@@ -239,4 +240,78 @@
         assertThat(state.appliedOffset()).isEqualTo(2);
         assertThat(tail.confirmedAge()).isEmpty();
     }
+
+    @ParameterizedTest
+    @CsvSource({"0, false", "3, false", "5, false", "9, false", "0, true", "5, true", "9, true"})
+    @DisplayName("guards against a state that goes on with records that the log has lost")
+    void appliesNothingAfterTheLogHasFallenBack(int newRecords, boolean away) {
+        addRecords(10);
+        start();
+        client.down = away;
+        time.advance(SECOND);
+        log.loseRecordsFrom(6);
+        for (int index = 0; index < newRecords; index++) {
+            log.add(joined(daemon("new-" + index, index)));
+        }
+        client.down = false;
+        time.advance(SECOND.multipliedBy(10));
+        SharedStateSnapshot stateAtFall = state.snapshot();
+        addRecords(20);
+        List<LogEntry> relayed = log.entries().subList(10, 20);
+        tail.acceptRelay(new LogTailRelay(relayed, 21, Duration.ZERO), Duration.ZERO);
+        int reads = client.reads;
+        time.advance(SECOND.multipliedBy(10));
+
+        assertThat(tail.hasFallenBack()).isTrue();
+        assertThat(tail.isReachable()).isFalse();
+        assertThat(tail.confirmedAge()).isEmpty();
+        assertThat(tail.acceptSnapshot(replayTo(15).snapshot(), SECOND, SECOND)).isFalse();
+        assertThat(state.snapshot()).isEqualTo(stateAtFall);
+        assertThat(client.reads).isEqualTo(reads);
+    }
+
+    @Test
+    @DisplayName("guards against an outage that is taken for a return from an older copy")
+    void goesOnAfterAnOutageInWhichNothingWasLost() {
+        addRecords(10);
+        start();
+        client.down = true;
+        time.advance(SECOND.multipliedBy(3));
+        addRecords(2);
+        tail.acceptRelay(
+                new LogTailRelay(log.entries().subList(10, 11), 12, SECOND), Duration.ZERO);
+        client.down = false;
+        time.advance(SECOND.multipliedBy(5));
+
+        assertThat(tail.hasFallenBack()).isFalse();
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName("guards against a tail that stops at pages of one record")
+    void readsOnWhenPagesHaveOneRecord() {
+        client.longestPage = 1;
+        addRecords(10);
+        start();
+        addRecords(5);
+        time.advance(SECOND.multipliedBy(2));
+        assertCaughtUp();
+    }
+
+    @Test
+    @DisplayName("guards against reading a large record again and again")
+    void readsACheckpointAgainOnlyAfterAFailedRead() {
+        addRecords(10);
+        addCheckpoint(10);
+        start();
+        time.advance(SECOND);
+        int served = client.recordsRead;
+        time.advance(SECOND);
+        assertThat(client.recordsRead).isEqualTo(served);
+        client.down = true;
+        time.advance(SECOND);
+        client.down = false;
+        time.advance(SECOND.multipliedBy(5));
+        assertThat(client.recordsRead).isEqualTo(served + 1);
+    }
 }
--- a/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/OutcomeAnswer.java
+++ b/bergamothoist-daemon/src/main/java/org/bergamothoist/daemon/caller/OutcomeAnswer.java
@@ -47,6 +47,7 @@
                     CONFIGURATION_STALE,
                     NOT_READY,
                     LOG_UNAVAILABLE,
+                    LOG_FELL_BACK,
                     RETRY_BUDGET_EXHAUSTED,
                     STOPPING,
                     PLATFORM_UNAVAILABLE ->
--- a/bergamothoist-standin/src/main/java/org/bergamothoist/standin/LogStandIn.java
+++ b/bergamothoist-standin/src/main/java/org/bergamothoist/standin/LogStandIn.java
@@ -67,6 +67,15 @@
         server.run(() -> down = true);
     }
 
+    /** Loses the records from an offset on, which is given out again; faults stay as they are. */
+    public void loseRecordsFrom(long offset) {
+        server.run(
+                () -> {
+                    records.removeIf(record -> record.offset() >= offset);
+                    endOffset = Math.min(endOffset, offset);
+                });
+    }
+
     /** Ends all faults. */
     public void recover() {
         server.run(
--- a/bergamothoist-standin/src/test/java/org/bergamothoist/standin/LogStandInTest.java
+++ b/bergamothoist-standin/src/test/java/org/bergamothoist/standin/LogStandInTest.java
@@ -173,4 +173,17 @@
     private TestClient.Answer append(int value) {
         return client.call("POST", "/records", new byte[] {(byte) value}, Map.of());
     }
+
+    /**
+     * Guards against a stand-in that keeps all records, so that a return from a copy is untested.
+     */
+    @Test
+    void givesOffsetsOutAgainAfterRecordsAreLost() {
+        append(1);
+        append(2);
+        log.loseRecordsFrom(2);
+        assertThat(log.endOffset()).isEqualTo(2);
+        assertThat(append(3).json().get("offset").asLong()).isEqualTo(2);
+        assertThat(log.records().get(1).payload()).containsExactly(3);
+    }
 }
