Keep a deletion that a listing confirms when its record is relayed late

A daemon went on to use a target that had left: it had learned of the deletion in an earlier era, its own listing lacked the target, and a daemon that had not read the deletion yet relayed the record before it. The tombstone preceded all positions of the new era, so that the relayed record replaced it, and no later read named the key again.

A listing now moves the tombstones of keys that it lacks to its end.

FeedMirrorEraTest.relayedRecordDoesNotUndoADeletionThatAListingConfirms: 2 of 3 cases fail without the change.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
@@ -271,10 +271,31 @@
                         .filter(record -> !listed.contains(record.key()))
                         .map(record -> tombstone(record, listing.end()))
                         .toList();
+        confirmDeletions(feed, listed, listing.end());
         apply(feed, tombstones);
         advance(feed, listing.end().previous());
     }
 
+    /**
+     * Moves the tombstones of keys that a listing lacks to its end. Another daemon may not have
+     * seen the deletion yet, and relays the record before it.
+     */
+    private void confirmDeletions(Feed feed, Set<String> listed, LogPosition end) {
+        recordsByFeed
+                .get(feed)
+                .replaceAll(
+                        (key, known) -> {
+                            FeedRecord record = known.record();
+                            boolean deleted = record.value().isEmpty() && !listed.contains(key);
+                            return deleted && end.isAfter(record.position())
+                                    ? new KnownRecord(
+                                            tombstone(record, end),
+                                            known.changedAt(),
+                                            known.retained())
+                                    : known;
+                        });
+    }
+
     private static FeedRecord tombstone(FeedRecord record, LogPosition end) {
         LogPosition position = end.previous();
         return new FeedRecord(
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
@@ -99,6 +99,24 @@
         assertThat(stateOf(Feed.TARGETS, "k")).isEqualTo(6);
     }
 
+    /**
+     * Guards against a target that is used for ever because a daemon that has not read its deletion
+     * relays its record to one that has learned of the deletion in an earlier era.
+     */
+    @ParameterizedTest
+    @CsvSource({"4,-1", "9,-1", "10,6"})
+    void relayedRecordDoesNotUndoADeletionThatAListingConfirms(long offset, int expected) {
+        FeedRecord deleted = record("k", -1, 1, 9);
+        mirror.applyRelayed(Feed.TARGETS, List.of(deleted), Optional.of(deleted.position()));
+        mirror.restart(Feed.TARGETS, 2);
+        mirror.apply(Feed.TARGETS, listing(2, 10));
+        mirror.applyRelayed(
+                Feed.TARGETS,
+                List.of(record("k", 6, 2, offset)),
+                Optional.of(new LogPosition(2, offset)));
+        assertThat(stateOf(Feed.TARGETS, "k")).isEqualTo(expected);
+    }
+
     /**
      * Guards against records of an earlier era that are stored, and relayed with the offsets of a
      * time at which the store gave them out to other records.
