Begin the grace period of lapsed registrations anew with each fallback

A live target was not used for a moment after the store had fallen back a second time. Its registration had lapsed while the store was away, because another daemon had read its end; that period of 2 s ended although the target could not have written its registration again yet.

A fallback now ends such periods, so that the one that begins with it applies.

TargetRegistryTest.gracePeriodBeginsAnewWithEachFallback fails without the change.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -159,6 +159,7 @@
      */
     public void onStoreFallback() {
         storeAvailableAt = clock.instant();
+        entries.values().forEach(entry -> entry.inUseUntil = Instant.MAX);
     }
 
     /** Removes lapsed registrations whose grace period is over; returns their targets. */
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -138,6 +138,24 @@
         assertThat(registry.accepting("service")).isEmpty();
     }
 
+    /**
+     * Guards against a live target that is removed before it can write its registration again,
+     * because another daemon had read its end before the store fell back once more.
+     */
+    @Test
+    void gracePeriodBeginsAnewWithEachFallback() {
+        registry.register(target("t", 1, false), 7);
+        registry.onStoreUnavailable();
+        registry.remove("t");
+        time.advanceMillis(1_900);
+        registry.onStoreFallback();
+        registry.onStoreAvailable();
+        time.advanceMillis(1_900);
+        assertThat(registry.removeLapsed()).isEmpty();
+        time.advanceMillis(200);
+        assertThat(registry.removeLapsed()).hasSize(1);
+    }
+
     @Test
     void registrationThatIsWrittenAgainAfterTheFallbackStays() {
         registry.register(target("t", 1, false), 7);
