Measure the time from a fallback until each feed is listed again

Nothing told how long a daemon's records were incomplete after the store came back from an older copy.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -60,6 +60,7 @@
     private final StoreReaderAssignment.Settings assignment;
     private final ReplicatedFeeds feeds;
     private final StoreReaderRole role;
+    private final FallbackObserver fallbackObserver;
     private final FeedFollower operatorFeed;
     private final FeedFollower targetsFeed;
     private final FeedFollower daemonsFeed;
@@ -127,8 +128,8 @@
                 new StoreReaderRole(
                         self.name(), self.dataCentre(), paces.relayLimits(), clock, log);
         FeedSource countedStore = new CountedSource(store, metrics);
-        FeedFollower.Observer observer =
-                new MirroringFeedObserver(feeds, clusterView.targets(), this::onListed, log);
+        FallbackObserver observer = createObserver(log);
+        this.fallbackObserver = observer;
         this.operatorFeed =
                 new FeedFollower(
                         Feed.OPERATOR,
@@ -206,6 +207,14 @@
                 log);
     }
 
+    private FallbackObserver createObserver(DecisionLog log) {
+        return new FallbackObserver(
+                new MirroringFeedObserver(feeds, clusterView.targets(), this::onListed, log),
+                metrics.histogram("store-fallback-listing-milliseconds"),
+                clock,
+                log);
+    }
+
     /** Counts the reads of the store. */
     private record CountedSource(FeedSource store, MetricRegistry metrics) implements FeedSource {
 
@@ -238,6 +247,7 @@
      * @param era era from now on
      */
     void onStoreFallback(long era) {
+        fallbackObserver.onStoreFallback();
         clusterView.targets().onStoreFallback();
         for (Feed feed : Feed.values()) {
             feeds.mirror().restart(feed, era);
