--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/SoakCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/SoakCommandTest.java
@@ -36,7 +36,7 @@
                 new SoakCommand(
                         (settings, logs) ->
                                 new GatewaySoak.Report(
-                                        settings, Map.of(), Map.of(), 0, violations));
+                                        settings, Map.of(), Map.of(), 0, 0, violations));
         StringWriter out = new StringWriter();
         int code =
                 new CommandLine(command)
