--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -43,6 +43,9 @@
     /** Interval between reads of the log while another daemon holds the lease. */
     private static final Duration READ_INTERVAL = Duration.ofMillis(200);
 
+    /** The same while there are no orders to send: a fraction of the wait that it begins. */
+    private static final Duration OBSERVATION_INTERVAL = READ_INTERVAL.multipliedBy(5);
+
     /** Fencing numbers of one era; with eras of six digits a number remains exact in JSON. */
     private static final long NUMBERS_PER_ERA = 1L << 32;
 
@@ -190,10 +193,7 @@
      * lease expires; to be called often by the daemon that is next in line.
      */
     public void watch() {
-        Instant now = clock.instant();
-        if (!storeCallPending && !now.isBefore(lastReadAt.plus(READ_INTERVAL))) {
-            readTail(now);
-        }
+        readTailIfDue(READ_INTERVAL);
     }
 
     /**
@@ -202,7 +202,14 @@
      */
     public void observe() {
         if (!tailKnown) {
-            watch();
+            readTailIfDue(OBSERVATION_INTERVAL);
+        }
+    }
+
+    private void readTailIfDue(Duration interval) {
+        Instant now = clock.instant();
+        if (!storeCallPending && !now.isBefore(lastReadAt.plus(interval))) {
+            readTail(now);
         }
     }
 
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorTest.java
@@ -69,7 +69,7 @@
                 .extracting(FeedRecord::key)
                 .containsExactly("b", "c");
         assertThat(mirror.position(Feed.OPERATOR)).isEqualTo(new LogPosition(0, 3));
-        assertThat(mirror.position(Feed.TARGETS).offset()).isNegative();
+        assertThat(mirror.position(Feed.TARGETS)).isEqualTo(new LogPosition(0, -3));
     }
 
     /**
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -218,7 +218,7 @@
     private OwnAddressRecord createOwnAddress() {
         return new OwnAddressRecord(
                 () -> store.publish(self.name(), settings.peers()),
-                this::isOwnAddressStored,
+                () -> feeds.isDaemonAddressStored(settings.peers(), decoder),
                 feeds::startDaemons,
                 scheduler,
                 random,
@@ -430,14 +430,6 @@
         quarantine.records().restore();
     }
 
-    private boolean isOwnAddressStored() {
-        return feeds.storedDaemonsRecords().stream()
-                .filter(record -> decoder.quarantinedContentKey(record.key()).isEmpty())
-                .flatMap(record -> record.value().stream())
-                .flatMap(value -> decoder.daemonAddress(value).stream())
-                .anyMatch(settings.peers()::equals);
-    }
-
     private void onPause(Duration pause) {
         metrics.counter("pauses").inc();
         log.write(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -19,7 +19,6 @@
 import org.bergamothoist.core.feed.FeedFollower;
 import org.bergamothoist.core.feed.FeedFreshness;
 import org.bergamothoist.core.feed.FeedMirror;
-import org.bergamothoist.core.feed.FeedRecord;
 import org.bergamothoist.core.feed.FeedSource;
 import org.bergamothoist.core.feed.ReplicatedFeeds;
 import org.bergamothoist.core.feed.StoreReaderAssignment;
@@ -35,6 +34,7 @@
 import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.MirroringFeedObserver;
+import org.bergamothoist.gateway.state.RecordDecoder;
 
 /**
  * Brings the store's records to a daemon: reads the feeds, or in a larger fleet gets the records
@@ -293,9 +293,13 @@
         daemonsFeed.start();
     }
 
-    /** Returns the records of the daemons' feed that the store has in its current era. */
-    List<FeedRecord> storedDaemonsRecords() {
-        return feeds.mirror().storedRecords(Feed.DAEMONS);
+    /** Returns whether the store has a daemon's address, as far as this daemon has read. */
+    boolean isDaemonAddressStored(String address, RecordDecoder decoder) {
+        return feeds.mirror().storedRecords(Feed.DAEMONS).stream()
+                .filter(record -> decoder.quarantinedContentKey(record.key()).isEmpty())
+                .flatMap(record -> record.value().stream())
+                .flatMap(value -> decoder.daemonAddress(value).stream())
+                .anyMatch(address::equals);
     }
 
     private void check() {
