Cover the lease's rules on a store without announcement, and drop an unused one

Deliberate faults put into OrderLease showed that no test covered the highest known number, the wait after a fallback without announcement, a tail of another era, the end of the exclusive time of a holder that was fenced, and a read that began before the fallback; each is now found by a test. The loops of OrderLeaseFallbackTest are bounded, since one fault made them endless.

The end of the exclusive time at the sight of another holder is dropped: an acquisition by another daemon comes later than that time, and its record prevents an immediate one anyway.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -290,25 +290,10 @@
                             highestNumber = Math.max(highestNumber, holding.fencingNumber());
                             versionDates.onRead(holding.versions());
                         });
-        if (isHeldBySelf()) {
-            return;
-        }
-        Optional<LeaseTopic.Holding> other = read.newest().filter(this::isHeldByOther);
-        if (fencingNumber > 0) {
-            logChange(
-                    " newest=" + read.newest(),
-                    other.isPresent()
-                            ? "lost to another daemon"
-                            : "lost: the newest record is of an earlier era or an earlier run");
+        if (fencingNumber > 0 && !isHeldBySelf()) {
+            logChange(" newest=" + read.newest(), "lost: the newest record is of another holder");
             fencingNumber = 0;
         }
-        if (other.isPresent()) {
-            exclusiveUntil = Instant.EPOCH;
-        }
-    }
-
-    private boolean isHeldByOther(LeaseTopic.Holding holding) {
-        return isOfCurrentEra(holding) && !holding.holder().equals(self);
     }
 
     private void append(Instant now, boolean renewal) {
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseFallbackTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseFallbackTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.feed.OutdatedAnswerException;
@@ -141,6 +142,13 @@
         }
     }
 
+    private void runUntil(BooleanSupplier condition, Daemon daemon) {
+        for (int step = 0; !condition.getAsBoolean(); step++) {
+            assertThat(step * STEP_MILLISECONDS).isLessThan(TAKEOVER_MILLISECONDS);
+            run(STEP_MILLISECONDS, daemon);
+        }
+    }
+
     private Daemon startHolder(String name) {
         Daemon holder = new Daemon(name);
         run(TAKEOVER_MILLISECONDS, holder);
@@ -232,6 +240,33 @@
         startHolder("first");
     }
 
+    /** Guards against lower numbers and an early takeover on a store that announces no era. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void fallbackWithoutAnnouncementIsWaitedForAndCounted(boolean emptyCopy) {
+        era = 0;
+        Daemon first = startHolder("first");
+        List<LeaseTopic.Holding> copy = emptyCopy ? List.of() : copy();
+        startHolder("second");
+        run(STEP_MILLISECONDS, first);
+        first.lease.watch();
+        fallBackTo(copy);
+        era = 0;
+        first.lease.onStoreFallback();
+        run(TAKEOVER_MILLISECONDS, first);
+        assertThat(lastOrder().holder()).isEqualTo("first");
+    }
+
+    /** Guards against a tail of an era whose begin was not reported as a fallback. */
+    @Test
+    void tailOfAnotherEraEndsTheLease() {
+        era = 0;
+        Daemon holder = startHolder("holder");
+        era = 1;
+        holder.lease.watch();
+        assertThat(holder.lease.usableFencingNumber()).isEmpty();
+    }
+
     /** Guards against taking the lease at once because the copy has none of its records. */
     @Test
     void emptyLogOfAnAnnouncedEraIsNotTakenAtOnce() {
@@ -240,9 +275,7 @@
         Instant fellBackAt = time.instant();
         fallBackTo(copy);
         Daemon second = new Daemon("second");
-        while (second.lease.usableFencingNumber().isEmpty()) {
-            run(STEP_MILLISECONDS, second);
-        }
+        runUntil(() -> second.lease.usableFencingNumber().isPresent(), second);
         assertThat(Duration.between(fellBackAt, time.instant()))
                 .isBetween(LEASE, LEASE.plusSeconds(1));
     }
@@ -272,9 +305,7 @@
     @Test
     void holderAcquiresTheLeaseAgainAfterALateAppendOfAnother() {
         Daemon holder = new Daemon("holder");
-        while (records.size() < 2) {
-            run(STEP_MILLISECONDS, holder);
-        }
+        runUntil(() -> records.size() == 2, holder);
         Daemon late = new Daemon("late");
         late.lease.watch();
         List<LeaseTopic.Holding> copy = copy().subList(0, 1);
@@ -282,9 +313,7 @@
         late.delaysCalls = true;
         late.lease.acquireOrRenew();
         fallBackTo(copy);
-        while (records.size() < 2) {
-            run(STEP_MILLISECONDS, holder);
-        }
+        runUntil(() -> records.size() == 2, holder);
         late.deliverDelayedCalls();
         assertThat(newest()).map(LeaseTopic.Holding::holder).hasValue("late");
         Instant replacedAt = time.instant();
@@ -344,7 +373,8 @@
                         (kind, subject, inputs, outcome) -> {});
         lease.acquireOrRenew();
         lease.onStoreFallback();
-        topic.reads.get(0).complete(new LeaseTopic.Tail(Optional.empty(), 0, 1));
+        LeaseTopic.Holding own = new LeaseTopic.Holding("self", (1L << 32) + 1, List.of());
+        topic.reads.get(0).complete(new LeaseTopic.Tail(Optional.of(own), 1, 1));
         lease.acquireOrRenew();
         assertThat(topic.appends).isEmpty();
         topic.reads.get(1).complete(new LeaseTopic.Tail(Optional.empty(), 0, 2));
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/lease/OrderLeaseTest.java
@@ -179,6 +179,7 @@
         run(first, 300);
         first.onFenced();
         assertThat(first.usableFencingNumber()).isEmpty();
+        assertThat(first.isHolder()).isFalse();
     }
 
     /**
