Add an ended target again only by a later registration

A target that had left was used again after the store had come back from another copy. Its registration had lapsed, an older copy's registration of it was read within the grace period, and the period then ended: the replica kept the older record, and the next fallback made it look new.

The registry now ignores registrations that were known when the target's registration ended.

TargetRegistryTest.endedTargetIsOnlyAddedByALaterRegistration: 2 of 4 cases fail without the change.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -56,12 +56,16 @@
     }
 
     /**
-     * Stores a registration unless a newer one of the same target is known.
+     * Stores a registration unless a newer one of the same target is known, or it had ended: the
+     * store may have come back from a copy that contains it.
      *
      * @param reportNumber number that increases with each registration record of an incarnation
      */
     public Change register(RegisteredTarget target, long reportNumber) {
         Entry known = entries.get(target.id());
+        if (known == null && hasEnded(target, reportNumber)) {
+            return Change.NONE;
+        }
         if (known == null) {
             entries.put(target.id(), new Entry(target, reportNumber));
             return Change.ADDED;
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/fleet/TargetRegistryTest.java
@@ -156,6 +156,23 @@
         assertThat(registry.removeLapsed()).hasSize(1);
     }
 
+    /**
+     * Guards against a target that left and is used again because another copy of the store has one
+     * of its earlier registrations.
+     */
+    @ParameterizedTest
+    @CsvSource({"9,8,NONE", "10,7,NONE", "10,8,ADDED", "11,0,ADDED"})
+    void endedTargetIsOnlyAddedByALaterRegistration(long start, long report, String change) {
+        registry.register(target("t", 10, false), 7);
+        registry.onStoreFallback();
+        registry.remove("t");
+        registry.register(target("t", 9, false), 8);
+        time.advanceMillis(2_100);
+        assertThat(registry.removeLapsed()).hasSize(1);
+        assertThat(registry.register(target("t", start, false), report))
+                .isEqualTo(TargetRegistry.Change.valueOf(change));
+    }
+
     @Test
     void registrationThatIsWrittenAgainAfterTheFallbackStays() {
         registry.register(target("t", 1, false), 7);
