--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/StoreFeeds.java
@@ -34,6 +34,7 @@
 import org.bergamothoist.gateway.state.CallerDaemons;
 import org.bergamothoist.gateway.state.ClusterView;
 import org.bergamothoist.gateway.state.MirroringFeedObserver;
+import org.bergamothoist.gateway.state.RecordDecoder;
 
 /**
  * Brings the store's records to a daemon: reads the feeds, or in a larger fleet gets the records
@@ -60,6 +61,7 @@
     private final StoreReaderAssignment.Settings assignment;
     private final ReplicatedFeeds feeds;
     private final StoreReaderRole role;
+    private final FallbackObserver fallbackObserver;
     private final FeedFollower operatorFeed;
     private final FeedFollower targetsFeed;
     private final FeedFollower daemonsFeed;
@@ -127,8 +129,8 @@
                 new StoreReaderRole(
                         self.name(), self.dataCentre(), paces.relayLimits(), clock, log);
         FeedSource countedStore = new CountedSource(store, metrics);
-        FeedFollower.Observer observer =
-                new MirroringFeedObserver(feeds, clusterView.targets(), this::onListed, log);
+        FallbackObserver observer = createObserver(log);
+        this.fallbackObserver = observer;
         this.operatorFeed =
                 new FeedFollower(
                         Feed.OPERATOR,
@@ -203,6 +205,15 @@
                 scheduler,
                 clock,
                 random,
+                metrics,
+                log);
+    }
+
+    private FallbackObserver createObserver(DecisionLog log) {
+        return new FallbackObserver(
+                new MirroringFeedObserver(feeds, clusterView.targets(), this::onListed, log),
+                metrics.histogram("store-fallback-listing-milliseconds"),
+                clock,
                 log);
     }
 
@@ -238,6 +249,7 @@
      * @param era era from now on
      */
     void onStoreFallback(long era) {
+        fallbackObserver.onStoreFallback();
         clusterView.targets().onStoreFallback();
         for (Feed feed : Feed.values()) {
             feeds.mirror().restart(feed, era);
@@ -281,6 +293,15 @@
         daemonsFeed.start();
     }
 
+    /** Returns whether the store has a daemon's address, as far as this daemon has read. */
+    boolean isDaemonAddressStored(String address, RecordDecoder decoder) {
+        return feeds.mirror().storedRecords(Feed.DAEMONS).stream()
+                .filter(record -> decoder.quarantinedContentKey(record.key()).isEmpty())
+                .flatMap(record -> record.value().stream())
+                .flatMap(value -> decoder.daemonAddress(value).stream())
+                .anyMatch(address::equals);
+    }
+
     private void check() {
         updateRole();
         recoverAtStartIfPossible();
