Read a topic on after one answer with a wrong end

What callers see: records of a topic stay unseen until the daemon restarts, if one answer states an end of the topic that is too high, for instance because it belongs to another call. Cause: in an announced era StoreEra does not use an answer whose end lies below the highest one seen, and keeps the highest for the rest of the era, so that each later answer is dropped. Change: the dropped answer's end is the known one from then on.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
@@ -130,6 +130,8 @@
         }
         String evidence = "topic=" + call.topic() + " end=" + end + " end-before=" + call.end();
         if (announced.isPresent()) {
+            // If the end before was wrong, the next answer is used.
+            ends.put(call.topic(), end);
             throw dropped(evidence);
         }
         onFallback(0, evidence);
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/StoreEraTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/StoreEraTest.java
@@ -100,4 +100,18 @@
         assertThatThrownBy(() -> era.onEnd(sent, 8)).isInstanceOf(OutdatedAnswerException.class);
         assertThat(events).isEmpty();
     }
+
+    /**
+     * Guards against a topic that is shut out for good by one answer that states too high an end.
+     */
+    @Test
+    void topicIsReadOnAfterOneAnswerWithAWrongEnd() {
+        era.onAnnounced(List.of("4"));
+        era.onEnd(era.onSent(TOPIC), 9);
+        era.onEnd(era.onSent(TOPIC), 5_000);
+        StoreEra.SentCall sent = era.onSent(TOPIC);
+        assertThatThrownBy(() -> era.onEnd(sent, 9)).isInstanceOf(OutdatedAnswerException.class);
+        era.onEnd(era.onSent(TOPIC), 10);
+        assertThat(events).isEmpty();
+    }
 }
