Use no end of an answer to a call of an earlier era

What callers see: after a fallback the records of a topic stay unseen until it has grown past its old end, or an answer is dropped without need, if a late answer of the earlier era comes without the announcement (or with one that is not readable). Cause: StoreEra.onEnd kept the end of an answer to a call that was sent before the fallback, although the answer may be of the earlier era. Change: such an end is not kept. The first answers of an era still are, since their calls are sent after the fallback is known. StoreEraTest.endOfALateAnswerWithoutAnnouncementIsNotUsedInTheNextEra failed before (OutdatedAnswer, end=20 end-before=900); StoreEraTest, PlatformStorePageTest, StaleCallAnswerTest and StoreFallbackTest hold, 63 cases.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
@@ -124,7 +124,11 @@
             // Whether the answer was made before or after the fallback is not known.
             requireSameEra(call);
         }
-        if (call.fallbacks() != fallbacks || end >= call.end()) {
+        if (call.fallbacks() != fallbacks) {
+            // An answer that announces no era may be of the one in which the call was sent.
+            return;
+        }
+        if (end >= call.end()) {
             ends.merge(call.topic(), end, Math::max);
             return;
         }
@@ -145,8 +149,11 @@
      * @see #onEnd
      */
     public void onAppended(SentCall call, long offset, long end) {
+        boolean ofCurrentEra = call.fallbacks() == fallbacks;
         onEnd(call, offset);
-        ends.merge(call.topic(), end, Math::max);
+        if (ofCurrentEra) {
+            ends.merge(call.topic(), end, Math::max);
+        }
     }
 
     /**
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/StoreEraTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/StoreEraTest.java
@@ -114,4 +114,16 @@
         era.onEnd(era.onSent(TOPIC), 10);
         assertThat(events).isEmpty();
     }
+
+    /** Guards against a late answer without announcement whose end shuts out the new era's. */
+    @Test
+    void endOfALateAnswerWithoutAnnouncementIsNotUsedInTheNextEra() {
+        era.onAnnounced(List.of("4"));
+        StoreEra.SentCall late = era.onSent(TOPIC);
+        era.onAnnounced(List.of("5"));
+        era.onEnd(late, 900);
+        era.onAppended(late, 900, 901);
+        era.onEnd(era.onSent(TOPIC), 20);
+        assertThat(era.droppedAnswers()).isZero();
+    }
 }
