Measure the listings after a fallback only of feeds that are read

What operators see: a daemon that gets its records from others reports minutes for store-fallback-listing-milliseconds, and logs "listed after the fallback", when it reads a feed again long after the store has returned. Cause: FallbackObserver waited for each feed, also for those whose reads were suspended. Change: suspended feeds are not waited for. FallbackObserverTest failed before (three values instead of one) and holds, as does StoreFeedsFleetTest, 17 cases.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/FallbackObserver.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/FallbackObserver.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.Map;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
@@ -24,6 +25,7 @@
     private final InstantSource clock;
     private final DecisionLog log;
     private final Map<Feed, Instant> fallenBackAt = new EnumMap<>(Feed.class);
+    private final EnumSet<Feed> suspended = EnumSet.noneOf(Feed.class);
 
     FallbackObserver(
             FeedFollower.Observer observer,
@@ -36,9 +38,12 @@
         this.log = log;
     }
 
-    /** Begins to wait for the feeds; to be called before they are listed again. */
+    /**
+     * Begins to wait for the feeds that are read; to be called before they are listed again. Others
+     * are listed when their reads are resumed, which says nothing of the store.
+     */
     void onStoreFallback() {
-        for (Feed feed : Feed.values()) {
+        for (Feed feed : EnumSet.complementOf(suspended)) {
             fallenBackAt.put(feed, clock.instant());
         }
     }
@@ -46,6 +51,7 @@
     @Override
     public void onListing(Feed feed, FeedSource.Listing listing, Instant completeUntil) {
         observer.onListing(feed, listing, completeUntil);
+        suspended.remove(feed);
         Instant since = fallenBackAt.remove(feed);
         if (since == null) {
             return;
@@ -79,6 +85,8 @@
 
     @Override
     public void onSuspended(Feed feed) {
+        suspended.add(feed);
+        fallenBackAt.remove(feed);
         observer.onSuspended(feed);
     }
 
