Begin no era twice in the replica, and follow eras of up to nine digits

Cause: found in the review. A replica that had learned of an era from another daemon began it again when its own store client noticed, so that all records were transferred again; an announcement of seven digits or more was ignored. Change: a replica ignores the start of the era that it is in; eras may have nine digits, with numbers of orders below 2^62. Result: FeedMirrorEraTest.eraThatAnotherDaemonHasToldIsNotBegunAgain failed before (position 2:-3) and holds.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/FeedMirror.java
@@ -85,13 +85,14 @@
 
     /**
      * Continues with a feed of which the store may have lost the newest records, from an offset on
-     * that is given out again. All that is known is retained. Ignored if the feed is of a later era
-     * already, which another daemon can have told.
+     * that is given out again. All that is known is retained. Ignored if the feed is of that era or
+     * a later one already, which another daemon can have told.
      *
-     * @param era era of the records that follow
+     * @param era era of the records that follow, or 0 if the store announces none
      */
     public void restart(Feed feed, long era) {
-        if (isEarlierEra(feed, era)) {
+        boolean begun = era > 0 && era == position(feed).era();
+        if (begun || isEarlierEra(feed, era)) {
             return;
         }
         LogPosition position = new LogPosition(era, RETAINED_OFFSET);
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/feed/StoreEra.java
@@ -20,8 +20,8 @@
  */
 public final class StoreEra {
 
-    /** A whole number that leaves room for an offset in a fencing number. */
-    private static final Pattern ERA = Pattern.compile("\\d{1,6}");
+    /** A whole number that leaves room for an offset in a fencing number of 63 bits. */
+    private static final Pattern ERA = Pattern.compile("\\d{1,9}");
 
     private static final String SUBJECT = "store";
 
--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/lease/OrderLease.java
@@ -46,7 +46,10 @@
     /** The same while there are no orders to send: a fraction of the wait that it begins. */
     private static final Duration OBSERVATION_INTERVAL = READ_INTERVAL.multipliedBy(5);
 
-    /** Fencing numbers of one era; with eras of six digits a number remains exact in JSON. */
+    /**
+     * Fencing numbers of one era. Up to era 2^21 a number is also exact for readers of JSON that
+     * take numbers for floating point.
+     */
     private static final long NUMBERS_PER_ERA = 1L << 32;
 
     private static final String NAME = "order-lease";
--- a/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
+++ b/bergamothoist-core/src/test/java/org/bergamothoist/core/feed/FeedMirrorEraTest.java
@@ -253,4 +253,14 @@
         mirror.applyRelayed(feed, List.of(), Optional.of(new LogPosition(1, 49)));
         assertThat(mirror.position(feed)).isEqualTo(new LogPosition(2, 3));
     }
+
+    /** Guards against a second transfer of all records when a daemon hears of the era by itself. */
+    @Test
+    void eraThatAnotherDaemonHasToldIsNotBegunAgain() {
+        knowInFirstEra(Feed.OPERATOR, 3);
+        mirror.applyRelayed(
+                Feed.OPERATOR, List.of(record("k", 7, 2, 5)), Optional.of(new LogPosition(2, 5)));
+        mirror.restart(Feed.OPERATOR, 2);
+        assertThat(mirror.position(Feed.OPERATOR)).isEqualTo(new LogPosition(2, 5));
+    }
 }
