Give the reasons of two bounds

Cause: found in the read-through, a jitter and a bound without a reason. Change: the jitter is derived from the timeout of a request, with the same value. Result: RecordRecoveryTest and TargetRegistryTest pass.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/fleet/TargetRegistry.java
@@ -25,7 +25,7 @@
      */
     public static final Duration RENEWAL_GRACE = Duration.ofSeconds(2);
 
-    /** Maximum number of targets whose end is remembered; the oldest are forgotten. */
+    /** Maximum number of targets whose end is remembered, which bounds the memory. */
     private static final int MAXIMUM_ENDED = 2_000;
 
     private final InstantSource clock;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRecovery.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/RecordRecovery.java
@@ -37,8 +37,11 @@
     /** Maximum number of requests of one recovery; some addresses are of daemons that are gone. */
     static final int MAXIMUM_REQUESTS = 3 * MAXIMUM_ANSWERS;
 
-    /** Time over which the daemons spread their requests after a fallback. */
-    private static final Duration FALLBACK_JITTER = Duration.ofMillis(300);
+    /**
+     * Time over which the daemons spread their requests after a fallback, which all of them see at
+     * nearly the same time: half of a request's timeout, so that no answer waits for all others.
+     */
+    private static final Duration FALLBACK_JITTER = RecordRelay.REQUEST_TIMEOUT.dividedBy(2);
 
     private final RecordRelay relay;
     private final DaemonDirectory daemons;
