Wait until daemons have applied the records that the log then loses

Only entry-1 reported LOG_FELL_BACK there: the log fell as soon as the answer was there, and a daemon that has not applied the lost records has lost nothing. Change: the test waits until each daemon has applied them. Its check and bound are as they were.

--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/demo/FailuresTest.java
@@ -124,6 +124,8 @@
         startAll(DAEMONS);
         long end = platform.log().endOffset();
         assertWhole(complete(LIMIT, CompletionRequest.of(model, "booking", 10).nonIdempotent()));
+        // A daemon that has not applied the lost records has lost nothing.
+        deployment.daemons().forEach(daemon -> awaitApplied(daemon, end));
         platform.log().down();
         platform.log().loseRecordsFrom(end);
         platform.log().recover();
@@ -494,6 +496,10 @@
                 .until(() -> status(daemon).configuration() == configuration);
     }
 
+    private static void awaitApplied(DaemonInstance daemon, long offset) {
+        Awaitility.await().atMost(LIMIT).until(() -> status(daemon).appliedOffset() >= offset);
+    }
+
     private static NodeStatus status(DaemonInstance daemon) {
         return daemon.router().status().toCompletableFuture().join();
     }
