Move retry decisions and failure responses out of Exchange

Change: RequestRetries and two factory methods of ErrorResponse hold what Exchange decided; no behaviour changes.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -20,7 +20,6 @@
 import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.route.Organisation;
 import org.bergamothoist.core.route.RequestKind;
-import org.bergamothoist.core.time.Jitter;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.buffer.HeldBytes;
 import org.bergamothoist.gateway.wire.EndToEndHeaders;
@@ -35,19 +34,6 @@
  */
 final class Exchange {
 
-    /**
-     * Minimum retry delay of callers whose request certainly was not run; short, because it may
-     * soon be repeated at another target or at the same one.
-     */
-    private static final Duration MINIMUM_RETRY_DELAY = Duration.ofMillis(100);
-
-    /** Maximum random addition to the retry delay, so that callers do not retry all at once. */
-    private static final Duration RETRY_JITTER = Duration.ofMillis(400);
-
-    private static final int UNAVAILABLE = 503;
-    private static final int BAD_GATEWAY = 502;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final ExchangeDependencies dependencies;
     private final RequestContext request;
     private final HttpHeaders headers;
@@ -59,6 +45,7 @@
     private final SilenceTimer silenceTimer;
     private final TargetWait targetWait;
     private final TargetChoice targets;
+    private final RequestRetries retries;
     private final AdmissionWait admission;
     private ByteBuf body;
     private boolean bodyAnnounced;
@@ -93,6 +80,7 @@
                         this::onTargetSilent,
                         dependencies.scheduler());
         this.targets = new TargetChoice(dependencies, request, relay, this::keys);
+        this.retries = new RequestRetries(dependencies, request, relay, this::keys);
         this.targetWait = new TargetWait(dependencies.scheduler(), dependencies.clock());
         this.admission = new AdmissionWait(dependencies, request, this::sendToTarget, this::refuse);
     }
@@ -224,10 +212,7 @@
      * target may go on with. Returns false if none was found for too long.
      */
     private boolean awaitTarget() {
-        boolean resumable =
-                relay.isStarted()
-                        && relay.isResumable()
-                        && !dependencies.crashingContents().isRefused(this::keys);
+        boolean resumable = relay.isStarted() && relay.isResumable() && !retries.isRefused();
         if (!resumable || !targetWait.schedule(this::sendUnlessEnded)) {
             return false;
         }
@@ -315,19 +300,7 @@
     }
 
     private boolean tryRetry(AttemptFailure failure) {
-        boolean retryable = !relay.isStarted() || relay.isResumable();
-        return retryable
-                && !dependencies.crashingContents().isRefused(this::keys)
-                && dependencies
-                        .retryPolicy()
-                        .tryRetry(
-                                new RetryPolicy.FailedAttempt(
-                                        request.route(),
-                                        service,
-                                        history,
-                                        relay.isStarted(),
-                                        timeLeft()),
-                                failure);
+        return retries.tryRetry(service, history, timeLeft(), failure);
     }
 
     private void resend(Attempt failed, AttemptFailure failure) {
@@ -428,9 +401,7 @@
             return;
         }
         ErrorCode code =
-                dependencies.crashingContents().isRefused(this::keys)
-                        ? ErrorCode.REQUEST_QUARANTINED
-                        : ErrorCode.TARGET_FAILED;
+                retries.isRefused() ? ErrorCode.REQUEST_QUARANTINED : ErrorCode.TARGET_FAILED;
         fail(failure + " at " + failed.targetId() + ": " + detail, code);
     }
 
@@ -450,12 +421,9 @@
             caller.abort();
             return;
         }
-        if (history.certainlyNotRun()) {
-            Duration delay = Jitter.delay(MINIMUM_RETRY_DELAY, RETRY_JITTER, dependencies.random());
-            sendError(new ErrorResponse(UNAVAILABLE, code, reason, Optional.of(delay)));
-            return;
-        }
-        sendError(ErrorResponse.of(BAD_GATEWAY, code, reason));
+        sendError(
+                ErrorResponse.failed(
+                        history.certainlyNotRun(), code, reason, dependencies.random()));
     }
 
     private void sendError(ErrorResponse error) {
@@ -485,14 +453,7 @@
         boolean notRun = history.certainlyNotRun() && !wasSent;
         history = wasSent ? history.after(AttemptFailure.NO_ANSWER) : history;
         attempt = null;
-        sendError(
-                notRun
-                        ? ErrorResponse.of(
-                                UNAVAILABLE,
-                                ErrorCode.DEADLINE_UNREACHABLE,
-                                "deadline passed before the request was sent to a target")
-                        : ErrorResponse.of(
-                                GATEWAY_TIMEOUT, ErrorCode.DEADLINE_EXCEEDED, "no answer"));
+        sendError(ErrorResponse.deadlinePassed(notRun));
     }
 
     /**
