--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -1,11 +1,8 @@
 package org.bergamothoist.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -14,11 +11,9 @@
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.quarantine.BrokenRequest;
 import org.bergamothoist.core.quarantine.Fingerprint;
-import org.bergamothoist.core.quarantine.FingerprintCalculator;
 import org.bergamothoist.core.quarantine.RequestKeys;
 import org.bergamothoist.core.relay.AttemptFailure;
 import org.bergamothoist.core.relay.RetryPolicy;
-import org.bergamothoist.core.route.Organisation;
 import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.buffer.HeldBytes;
@@ -36,7 +31,7 @@
 
     private final ExchangeDependencies dependencies;
     private final RequestContext request;
-    private final HttpHeaders headers;
+    private final TargetRequest targetRequest;
     private final CallerResponseWriter caller;
     private final ResponseRelay relay;
     private final HeldBytes.Account bodyBytes;
@@ -50,7 +45,7 @@
     private ByteBuf body;
     private boolean bodyAnnounced;
     private String service;
-    private RequestKeys keys;
+    private RequestFingerprints fingerprints;
     private RetryPolicy.History history = RetryPolicy.History.NONE;
     private Attempt attempt;
     private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -66,7 +61,11 @@
         this.dependencies = dependencies;
         this.request = request;
         this.caller = caller;
-        this.headers = EndToEndHeaders.of(callerHeaders, dependencies.dialect()::isNeverHopByHop);
+        this.targetRequest =
+                new TargetRequest(
+                        request,
+                        EndToEndHeaders.of(callerHeaders, dependencies.dialect()::isNeverHopByHop),
+                        dependencies.dialect());
         String requestId = request.head().requestId();
         this.bodyBytes = dependencies.heldBytes().open(requestId, this::refuseForMemory);
         this.eventBytes = dependencies.heldBytes().open(requestId, this::onEventRefused);
@@ -157,6 +156,7 @@
             return;
         }
         service = dependencies.targetSelector().selectService(request);
+        fingerprints = new RequestFingerprints(request, service, body);
         Optional<ErrorResponse> refusal = dependencies.crashingContents().refusal(this::keys);
         if (refusal.isPresent()) {
             dependencies.metrics().countQuarantined();
@@ -242,17 +242,9 @@
     }
 
     private HttpRequest targetRequest(ForwardingMetadata forwarding) {
-        HttpRequest head =
-                new DefaultHttpRequest(
-                        HttpVersion.HTTP_1_1,
-                        request.head().method(),
-                        request.head().requestTarget(),
-                        headers.copy());
-        dependencies.dialect().writeForwardingMetadata(head.headers(), forwarding);
-        if (bodyAnnounced || body.isReadable()) {
-            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        }
-        return head;
+        return bodyAnnounced || body.isReadable()
+                ? targetRequest.head(forwarding, body.readableBytes())
+                : targetRequest.head(forwarding);
     }
 
     /** Notes that the caller was sent further events of a stream. */
@@ -328,26 +320,16 @@
     }
 
     /**
-     * Returns the fingerprints of the request's content and of the parts of its prompt. Computed on
-     * first use, which must follow the choice of the service and precede the end of the exchange.
+     * Returns the fingerprints of the request's content and of the parts of its prompt. The first
+     * use must follow the choice of the service and precede the end of the exchange.
      */
     RequestKeys keys() {
-        if (keys == null) {
-            Fingerprint content =
-                    FingerprintCalculator.ofRequest(
-                            request.head().method().name(),
-                            request.route().host(),
-                            request.head().requestTarget(),
-                            request.organisation().map(Organisation::name).orElse(""),
-                            body.nioBuffer());
-            keys = RequestKeys.of(content, service, request.head().sharedParts());
-        }
-        return keys;
+        return fingerprints.keys();
     }
 
     /** Returns the fingerprints of the parts of the prompt that other requests may share. */
     Set<Fingerprint> parts() {
-        return RequestKeys.parts(service, request.head().sharedParts()).keySet();
+        return fingerprints.parts();
     }
 
     /**
