Log why a stopping daemon ends an answer without its last byte

Cause: an answer cut by the end of the grace was logged as left by its caller, by a task that ran after daemon-stopped while the process already halted; no line had the target, its silence or the grace that was left, and an answer that was complete here but not yet written had no line at all. Change: the end of the grace ends each request before its connection is closed, with the outcome stopped-broken; an answer with bytes left to write gets the line answer-unwritten. While the daemon stops, both lines and request-ended tell who decided, the target, its silence, how much it sent, the bytes that wait for the caller, and the grace left. daemon-stopped is the last line and sums up by outcome what ended since the signal. Lack of memory for an event is told apart from an event that is too large. What is routed or cut is unchanged.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -76,6 +76,11 @@
     CONTENT_CLEARED,
     /** A request finished. */
     REQUEST_ENDED,
+    /**
+     * A stopping daemon's connection to a caller ended before the bytes of an answer that was
+     * complete here were all written.
+     */
+    ANSWER_UNWRITTEN,
     /** A request was rejected without being sent to a target. */
     REQUEST_REFUSED,
     /** This daemon began or ended to refuse an organisation's requests for its quota. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -3,7 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.identity.DaemonId;
@@ -38,6 +42,7 @@
     private Runnable onStopped = () -> {};
     private boolean refusing;
     private Instant endsAt;
+    private SortedMap<String, Long> endingsBefore = new TreeMap<>();
 
     PlannedStop(
             DaemonId self,
@@ -72,6 +77,7 @@
     void begin(Runnable whenStopped) {
         onStopped = whenStopped;
         endsAt = clock.instant().plus(grace(1)).minus(STOP_MARGIN);
+        endingsBefore = callers.endings();
         log.write(
                 DecisionKind.DAEMON_STOPPING,
                 self.toString(),
@@ -100,9 +106,35 @@
             scheduler.schedule(STOP_CHECK, this::finish);
             return;
         }
+        long partialHeads = callers.connectionsWithPartialHead();
+        long graceLeft = Duration.between(clock.instant(), endsAt).toMillis();
         callers.abortConnections();
         log.write(
-                DecisionKind.DAEMON_STOPPED, self.toString(), () -> "requests=" + busy, "stopped");
+                DecisionKind.DAEMON_STOPPED,
+                self.toString(),
+                () ->
+                        "requests="
+                                + busy
+                                + " partial-heads="
+                                + partialHeads
+                                + " grace-left="
+                                + graceLeft
+                                + describeEndings(),
+                "stopped");
         onStopped.run();
     }
+
+    /** Describes how many requests have ended since the signal to stop, by outcome. */
+    private String describeEndings() {
+        return callers.endings().entrySet().stream()
+                .map(
+                        ending ->
+                                Map.entry(
+                                        ending.getKey(),
+                                        ending.getValue()
+                                                - endingsBefore.getOrDefault(ending.getKey(), 0L)))
+                .filter(ending -> ending.getValue() > 0)
+                .map(ending -> " " + ending.getKey() + "=" + ending.getValue())
+                .collect(Collectors.joining());
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -37,6 +37,7 @@
     private final TargetSelector.Selection selection;
     private final Exchange exchange;
     private final EngineSample engineSample;
+    private final TargetAnswer answer;
     private ClientConnection connection;
     private Instant sentAt;
     private CrossingRule.Dispatch dispatch;
@@ -61,6 +62,7 @@
         this.selection = selection;
         this.exchange = exchange;
         this.engineSample = new EngineSample(dependencies, selection, exchange.request());
+        this.answer = new TargetAnswer(selection.target().id());
     }
 
     String targetId() {
@@ -81,6 +83,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         engineSample.onStarted();
+        exchange.request().progress().onLatest(answer);
         suspects = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
         dependencies.activeAttempts().add(this);
         dependencies.livenessChecker().onRequest(selection.target());
@@ -122,6 +125,7 @@
                                 body.readableBytes(),
                                 selection.prefillTokens());
         engineSample.onSent(sentAt);
+        answer.onSent(sentAt);
         opened.send(head, body, answerMatch(), this);
     }
 
@@ -144,6 +148,7 @@
     void setReading(boolean reading) {
         if (connection != null) {
             connection.setReading(reading);
+            answer.onReading(reading);
         }
     }
 
@@ -155,6 +160,7 @@
             return;
         }
         abandoned = true;
+        answer.onAbandoned();
         removeFromTargetLoad();
         if (connection != null) {
             connection.abort();
@@ -169,6 +175,8 @@
     private void removeFromTargetLoad() {
         if (!ended) {
             ended = true;
+            answer.onEnded(dependencies.clock().instant());
+            exchange.request().progress().onLatest(answer);
             completePrefill();
             engineSample.onEnded();
             dependencies.activeAttempts().remove(this);
@@ -185,6 +193,7 @@
 
     @Override
     public boolean onHead(HttpResponse head) {
+        answer.onBytes(dependencies.clock().instant());
         dependencies
                 .livenessChecker()
                 .onAnswer(selection.target(), connection.isAnswerSelfDelimited());
@@ -279,6 +288,7 @@
     @Override
     public void onContent(ByteBuf content) {
         dispatch.count(content.readableBytes());
+        answer.onBytes(dependencies.clock().instant());
         if (rejection != null) {
             discard(content);
             return;
@@ -304,7 +314,7 @@
             return;
         }
         if (!exchange.relay().isWritable()) {
-            connection.setReading(false);
+            setReading(false);
         }
     }
 
@@ -320,7 +330,12 @@
     /** Ends the attempt, because an event of its stream has no end or no memory is left for it. */
     void endOversizedEvent() {
         connection.abort();
-        fail(AttemptFailure.INVALID_ANSWER, "an event of the stream is too large");
+        if (exchange.relay().isEventTooLarge()) {
+            fail(AttemptFailure.INVALID_ANSWER, "an event of the stream is too large");
+            return;
+        }
+        answer.onOutOfMemory();
+        fail(AttemptFailure.INVALID_ANSWER, "no memory is left for an event of the stream");
     }
 
     /** A target that crashes for a request does so as it begins to answer. */
@@ -351,6 +366,7 @@
             return;
         }
         boolean endedByClose = connection.isAnswerEndedByClose();
+        answer.onComplete(endedByClose);
         if (endedByClose && exchange.relay().isStreamWithoutEvent()) {
             failBroken(AttemptFailure.BROKEN_STREAM, "the event stream ended without an event");
             return;
@@ -412,6 +428,7 @@
     /** Records the failure in the target's state and writes it to the log. */
     void recordFailure(AttemptFailure attemptFailure, String detail) {
         Instant now = dependencies.clock().instant();
+        answer.onFailed(attemptFailure);
         if (attemptFailure == AttemptFailure.REFUSED) {
             targetState().recordRefusal(now);
         } else if (attemptFailure == AttemptFailure.SERVER_ERROR) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -64,6 +65,13 @@
     private int unwrittenResponses;
 
     private long lastBytesToWrite;
+
+    /** The bytes that were not yet written to the socket when this daemon closed the connection. */
+    private long bytesToWriteAtClose;
+
+    /** Why this daemon closes the connection, or the caller has if it does not. */
+    private Disconnection disconnection = Disconnection.CALLER_LEFT;
+
     private Channel channel;
     private Exchange exchange;
     private HttpRequest request;
@@ -115,7 +123,7 @@
             lastActiveAt = now;
             return;
         }
-        long bytesToWrite = channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+        long bytesToWrite = bytesToWrite();
         if (unwrittenResponses > 0 && bytesToWrite != lastBytesToWrite) {
             lastBytesToWrite = bytesToWrite;
             lastActiveAt = now;
@@ -133,10 +141,22 @@
                             + limits.idleTimeout().toMillis()
                             + " ms");
         } else if (idle) {
-            abort();
+            disconnection = Disconnection.CALLER_IDLE;
+            close();
         }
     }
 
+    /** Returns the bytes of responses that wait in this process for the caller to accept them. */
+    private long bytesToWrite() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? bytesToWriteAtClose : buffer.totalPendingWriteBytes();
+    }
+
+    /** Returns whether part of the head of a request has been received. */
+    boolean hasPartialHead() {
+        return requestFirstByteAt != null;
+    }
+
     /** Closes the connection as soon as no request is in progress. */
     void closeWhenIdle() {
         closeAfterResponse = true;
@@ -214,9 +234,7 @@
             return;
         }
         if (responsePending) {
-            if (exchange != null) {
-                exchange.onCallerDisconnected();
-            }
+            onDisconnected();
             channel.close();
             return;
         }
@@ -247,7 +265,11 @@
             return;
         }
         closeAfterResponse = server.isClosingAfterResponses() || !HttpUtil.isKeepAlive(head);
-        RequestContext context = new RequestContext(requestHead, dependencies.clock().instant());
+        RequestContext context =
+                new RequestContext(
+                        requestHead,
+                        dependencies.clock().instant(),
+                        new AnswerProgress(this::bytesToWrite));
         exchange = new Exchange(dependencies, context, head.headers(), this);
         if (!exchange.applyFilters()) {
             return;
@@ -278,6 +300,7 @@
         if (collectingBody) {
             ByteBuf complete = body;
             body = null;
+            exchange.request().progress().onBodyReceived();
             exchange.dispatch(complete, BodyFraming.isExplicit(request));
         } else if (exchange.isEnded() && !responsePending && closeAfterResponse) {
             channel.close();
@@ -288,7 +311,7 @@
 
     private boolean appendBody(ByteBuf piece) {
         if (body.readableBytes() + piece.readableBytes() > server.limits().bodyBytes()) {
-            exchange.onCallerDisconnected();
+            onDisconnected();
             responsePending = false;
             reject(
                     CONTENT_TOO_LARGE,
@@ -330,7 +353,8 @@
         releaseBody();
         unwrittenResponses++;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        written.addListener(done -> onResponseWritten());
+        Exchange answered = exchange;
+        written.addListener(done -> onResponseWritten(answered, done.isSuccess()));
         if (closeAfterResponse && receivingRequest) {
             // A close while the request still arrives would reset the response on its way.
             dependencies.scheduler().schedule(LINGER, channel::close);
@@ -346,7 +370,11 @@
         }
     }
 
-    private void onResponseWritten() {
+    private void onResponseWritten(Exchange answered, boolean successful) {
+        if (!successful && answered != null && dependencies.stopDeadline().isStopping()) {
+            new ExchangeLog(dependencies, answered.request()).unwritten(disconnection);
+            dependencies.metrics().countUnwrittenAnswer(disconnection.unwrittenOutcome());
+        }
         unwrittenResponses--;
         lastActiveAt = dependencies.clock().instant();
         if (unwrittenResponses == 0) {
@@ -377,6 +405,26 @@
 
     @Override
     public void abort() {
+        disconnection = Disconnection.LATER_ANSWER_BROKEN;
+        close();
+    }
+
+    /** Ends whatever is in progress on the connection and closes it. */
+    void abortAtGraceEnd() {
+        disconnection = Disconnection.GRACE_ENDED;
+        onDisconnected();
+        close();
+    }
+
+    private void onDisconnected() {
+        if (exchange != null && !exchange.isEnded()) {
+            exchange.request().progress().onDisconnected(disconnection);
+            exchange.onCallerDisconnected(disconnection);
+        }
+    }
+
+    private void close() {
+        bytesToWriteAtClose = bytesToWrite();
         if (responseEndsByClose) {
             // Without a length or chunks, only a reset shows that the response is not complete.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -404,9 +452,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.remove(this);
-        if (exchange != null) {
-            exchange.onCallerDisconnected();
-        }
+        onDisconnected();
         releaseBody();
         pipelinedMessages.forEach(ReferenceCountUtil::release);
         pipelinedMessages.clear();
@@ -429,6 +475,6 @@
                         String.valueOf(context.channel().remoteAddress()),
                         () -> "" + cause,
                         "connection closed");
-        abort();
+        close();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
 import org.bergamothoist.core.route.CallerLimits;
 import org.bergamothoist.core.route.ConfigurationHolder;
 import org.bergamothoist.core.route.RouteConfiguration;
@@ -123,9 +124,22 @@
         List.copyOf(connections).forEach(CallerConnectionHandler::refuseIfStoppingTooSoon);
     }
 
-    /** Closes all connections; a response in progress does not look complete. */
+    /**
+     * Closes all connections at the end of the grace; a response in progress does not look
+     * complete. What this ends has been logged when the method returns.
+     */
     public void abortConnections() {
-        List.copyOf(connections).forEach(CallerConnectionHandler::abort);
+        List.copyOf(connections).forEach(CallerConnectionHandler::abortAtGraceEnd);
+    }
+
+    /** Returns the numbers of requests that have ended, by outcome. */
+    public SortedMap<String, Long> endings() {
+        return dependencies.metrics().endings();
+    }
+
+    /** Returns the number of connections on which part of a request's head has been received. */
+    public long connectionsWithPartialHead() {
+        return connections.stream().filter(CallerConnectionHandler::hasPartialHead).count();
     }
 
     /** Returns the number of connections with a request in progress. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -70,7 +70,7 @@
         this.bodyBytes = dependencies.heldBytes().open(requestId, this::refuseForMemory);
         this.eventBytes = dependencies.heldBytes().open(requestId, this::onEventRefused);
         this.relay = new ResponseRelay(dependencies.dialect(), caller, eventBytes);
-        this.log = new ExchangeLog(dependencies.log(), request, dependencies.clock());
+        this.log = new ExchangeLog(dependencies, request);
         this.silenceTimer =
                 new SilenceTimer(
                         request,
@@ -398,6 +398,7 @@
 
     /** Sends an error response, or closes the connection if a response has already started. */
     private void fail(String reason, ErrorCode code) {
+        request.progress().onError(code);
         if (relay.isStarted()) {
             end("broken", reason);
             caller.abort();
@@ -417,6 +418,7 @@
         if (ended) {
             return;
         }
+        request.progress().onError(ErrorCode.DEADLINE_EXCEEDED);
         boolean wasSent = attempt != null && attempt.wasSent();
         if (attempt != null) {
             attempt.abandon();
@@ -504,15 +506,15 @@
         log.ended(outcome, detail, history, timeToFirstByte);
     }
 
-    /** Stops the target's work when the caller has disconnected. */
-    void onCallerDisconnected() {
+    /** Stops the target's work when the caller's connection ends. */
+    void onCallerDisconnected(Disconnection reason) {
         if (ended) {
             return;
         }
         if (attempt != null) {
             attempt.abandon();
         }
-        end("caller-left", "connection closed by the caller");
+        end(reason.outcome(), reason.detail());
     }
 
     /** Resumes reading the target's response when the caller's connection accepts bytes again. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeLog.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeLog.java
@@ -13,11 +13,13 @@
     private final DecisionLog log;
     private final RequestContext request;
     private final InstantSource clock;
+    private final StopDeadline stopDeadline;
 
-    ExchangeLog(DecisionLog log, RequestContext request, InstantSource clock) {
-        this.log = log;
+    ExchangeLog(ExchangeDependencies dependencies, RequestContext request) {
+        this.log = dependencies.log();
         this.request = request;
-        this.clock = clock;
+        this.clock = dependencies.clock();
+        this.stopDeadline = dependencies.stopDeadline();
     }
 
     void refused(ErrorResponse error) {
@@ -70,7 +72,8 @@
     }
 
     /**
-     * Writes the end of the request.
+     * Writes the end of the request; while the daemon is stopping, also what decided it, the
+     * target, and how much of the grace was left.
      *
      * @param timeToFirstByte null if no response has begun
      */
@@ -89,7 +92,31 @@
                                         ? ""
                                         : " first-byte=" + timeToFirstByte.toMillis())
                                 + " after="
-                                + Duration.between(request.arrivedAt(), clock.instant()).toMillis(),
+                                + Duration.between(request.arrivedAt(), clock.instant()).toMillis()
+                                + describeStop(request.progress().decision()),
                 outcome);
     }
+
+    /** Writes that the caller's connection ended before a complete answer was written to it. */
+    void unwritten(Disconnection reason) {
+        log.write(
+                DecisionKind.ANSWER_UNWRITTEN,
+                request.head().requestId(),
+                () -> reason.detail() + describeStop(reason.decision()),
+                reason.unwrittenOutcome());
+    }
+
+    private String describeStop(EndDecision decision) {
+        return stopDeadline
+                .graceLeft()
+                .map(
+                        left ->
+                                " decided-by="
+                                        + decision
+                                        + " "
+                                        + request.progress().describe(clock.instant())
+                                        + " grace-left="
+                                        + left.toMillis())
+                .orElse("");
+    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RelayMetrics.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RelayMetrics.java
@@ -3,6 +3,9 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /** Counters and latency histograms of the relay. */
 public final class RelayMetrics {
@@ -11,6 +14,7 @@
     private final Histogram timeToFirstByte;
     private final Histogram timeToCompletion;
     private final Histogram endCheckTime;
+    private final SortedMap<String, Long> endings = new TreeMap<>();
 
     /** Creates the metrics in a registry. */
     public RelayMetrics(MetricRegistry registry) {
@@ -46,6 +50,21 @@
 
     void countEndedRequest(String outcome) {
         registry.counter("requests-ended." + outcome).inc();
+        endings.merge(outcome, 1L, Long::sum);
+    }
+
+    /** Counts an answer that was complete here, but whose bytes were not all written. */
+    void countUnwrittenAnswer(String outcome) {
+        registry.counter("answers-unwritten." + outcome).inc();
+        endings.merge(outcome, 1L, Long::sum);
+    }
+
+    /**
+     * Returns the numbers of requests that have ended, by outcome. An answer that was complete but
+     * not written counts as answered and under an outcome of its own.
+     */
+    SortedMap<String, Long> endings() {
+        return Collections.unmodifiableSortedMap(new TreeMap<>(endings));
     }
 
     /** Counts an answer that ended with its connection; the outcome says what it was taken for. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
@@ -17,6 +17,7 @@
 
     private final RequestHead head;
     private final Instant arrivedAt;
+    private final AnswerProgress progress;
     private RouteConfiguration configuration;
     private Route route;
     private Organisation organisation;
@@ -24,9 +25,10 @@
     private StreamTiming streamTiming;
 
     /** Creates the context of a request that has just arrived. */
-    public RequestContext(RequestHead head, Instant arrivedAt) {
+    RequestContext(RequestHead head, Instant arrivedAt, AnswerProgress progress) {
         this.head = head;
         this.arrivedAt = arrivedAt;
+        this.progress = progress;
     }
 
     public RequestHead head() {
@@ -37,6 +39,10 @@
         return arrivedAt;
     }
 
+    AnswerProgress progress() {
+        return progress;
+    }
+
     public RouteConfiguration configuration() {
         return configuration;
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ResponseRelay.java
@@ -127,9 +127,14 @@
                 || eventBoundary != null && !eventBoundary.hasWholeEvents();
     }
 
-    /** Returns whether the incomplete event is larger than it may be. */
+    /** Returns whether the incomplete event is too large, or no memory is left for it. */
     boolean hasOversizedEvent() {
-        return events != null && (refused || events.isOversized());
+        return events != null && refused || isEventTooLarge();
+    }
+
+    /** Returns whether the incomplete event is larger than any may be. */
+    boolean isEventTooLarge() {
+        return events != null && events.isOversized();
     }
 
     /** Returns whether the target has sent only part of an event. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/StopDeadline.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/StopDeadline.java
@@ -27,6 +27,11 @@
         return stopsAt.get().isPresent();
     }
 
+    /** Returns the time until the daemon ends whatever is in progress, if it is stopping. */
+    Optional<Duration> graceLeft() {
+        return stopsAt.get().map(end -> Duration.between(clock.instant(), end));
+    }
+
     AnswerTimes answerTimes() {
         return answerTimes;
     }
