Keep a silent target until another one has taken the request

What callers saw: streams cut in a planned stop, status 200 without their last events (LOST); outside a stop, 502 for requests whose target began to answer late, though no other target answered at all. Cause: a target that was silent for two objectives, or for five gaps between events, was abandoned first. Only then did the daemon ask whether another target takes the request, and whether it would end before the stop. With a no to either, nothing was left. Class: letting go of what is in hand before what replaces it is certain. Change: the request is sent to another target beside the silent one (Takeover, RequestAttempts). The silent one is given up when the other answers, or has not refused for 300 ms, since two targets must not work on one request for longer than 400 ms. If it goes on first, the other attempt is dropped; if the other refuses, the silent one remains and others are asked. Without a target that would end in time, or without budget, nothing is given up. Log lines target-silent say what was done.

--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -46,6 +46,8 @@
      * Requests of a service begin or cease to leave the data centre because its targets are full.
      */
     DATA_CENTRE_CROSSING,
+    /** A target has been silent for long; its request waits, or is sent to another one as well. */
+    TARGET_SILENT,
     /** An attempt at a target failed. */
     ATTEMPT_FAILED,
     /** A peer's connection was closed because of bytes that answer no request. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -127,6 +127,7 @@
         engineSample.onSent(sentAt);
         answer.onSent(sentAt);
         opened.send(head, body, answerMatch(), this);
+        exchange.takeover().onSent(this);
     }
 
     /**
@@ -273,10 +274,10 @@
 
     private void startRelay(HttpResponse head, boolean success) {
         boolean stream = exchange.request().route().kind().isStream();
+        boolean resumable = stream && success && exchange.request().route().kind().isRetryable();
         successful = success;
+        exchange.takeover().onAnswering(this, resumable);
         if (!exchange.relay().isStarted()) {
-            boolean resumable =
-                    stream && success && exchange.request().route().kind().isRetryable();
             exchange.relay().start(head, resumable);
         }
         if (!stream) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -13,7 +13,6 @@
 import org.bergamothoist.core.quarantine.Fingerprint;
 import org.bergamothoist.core.quarantine.RequestKeys;
 import org.bergamothoist.core.relay.AttemptFailure;
-import org.bergamothoist.core.relay.RetryPolicy;
 import org.bergamothoist.core.route.RequestKind;
 import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.buffer.HeldBytes;
@@ -27,7 +26,7 @@
  * closed connection. A response that states that the request was not run is sent only if no attempt
  * may have run it.
  */
-final class Exchange {
+final class Exchange implements Takeover.Request {
 
     private final ExchangeDependencies dependencies;
     private final RequestContext request;
@@ -42,12 +41,12 @@
     private final TargetChoice targets;
     private final RequestRetries retries;
     private final AdmissionWait admission;
+    private final RequestAttempts attempts;
+    private final Takeover takeover;
     private ByteBuf body;
     private boolean bodyAnnounced;
     private String service;
     private RequestFingerprints fingerprints;
-    private RetryPolicy.History history = RetryPolicy.History.NONE;
-    private Attempt attempt;
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private boolean retryReserved;
     private Duration timeToFirstByte;
@@ -71,6 +70,7 @@
         this.eventBytes = dependencies.heldBytes().open(requestId, this::onEventRefused);
         this.relay = new ResponseRelay(dependencies.dialect(), caller, eventBytes);
         this.log = new ExchangeLog(dependencies, request);
+        this.attempts = new RequestAttempts(log);
         this.silenceTimer =
                 new SilenceTimer(
                         request,
@@ -81,6 +81,17 @@
         this.targets = new TargetChoice(dependencies, request, relay, this::keys);
         this.retries = new RequestRetries(dependencies, request, relay, this::keys);
         this.targetWait = new TargetWait(dependencies.scheduler(), dependencies.clock());
+        this.takeover =
+                new Takeover(
+                        this,
+                        selection -> new Attempt(dependencies, selection, this),
+                        attempts,
+                        targets,
+                        relay,
+                        silenceTimer,
+                        new TargetWait(dependencies.scheduler(), dependencies.clock()),
+                        log,
+                        dependencies.scheduler());
         this.admission = new AdmissionWait(dependencies, request, this::sendToTarget, this::refuse);
     }
 
@@ -105,7 +116,7 @@
 
     private void refuse(ErrorResponse error) {
         ended = true;
-        request.settleQuota(history, attempt);
+        request.settleQuota(attempts);
         deadlineTimer.cancel();
         admission.onEnded();
         releaseBody();
@@ -134,8 +145,8 @@
     }
 
     private void onEventRefused() {
-        if (!ended && attempt != null) {
-            attempt.endOversizedEvent();
+        if (!ended && attempts.hasCurrent()) {
+            attempts.current().endOversizedEvent();
         }
     }
 
@@ -193,15 +204,21 @@
         }
         bodyBytes.keep();
         admission.onSending(selection);
-        request.chargeNextRun(history);
-        attempt = new Attempt(dependencies, selection, this);
-        dependencies.metrics().countAttempt();
-        log.dispatched(selection, timeLeft());
-        attempt.start(targetRequest(selection.forwarding()), body.retainedDuplicate());
+        Attempt attempt = new Attempt(dependencies, selection, this);
+        attempts.begin(attempt);
+        start(attempt, selection);
         silenceTimer.restart();
         return true;
     }
 
+    @Override
+    public void start(Attempt started, TargetSelector.Selection selection) {
+        request.chargeNextRun(attempts.history());
+        dependencies.metrics().countAttempt();
+        log.dispatched(selection, timeLeft());
+        started.start(targetRequest(selection.forwarding()), body.retainedDuplicate());
+    }
+
     /** Sends the request again, whatever the load. */
     private void sendAgain() {
         sendToTarget(selection -> true);
@@ -249,6 +266,7 @@
 
     /** Notes that the caller was sent further events of a stream. */
     void onEventsRelayed() {
+        takeover.onProgress();
         targetWait.end();
         silenceTimer.restart();
     }
@@ -258,19 +276,17 @@
     }
 
     private boolean hasTargetSentBytesWithin(Duration period) {
-        return attempt != null && attempt.hasTargetSentBytesWithin(period);
+        return attempts.hasCurrent() && attempts.current().hasTargetSentBytesWithin(period);
     }
 
     private void onTargetSilent() {
-        if (ended || attempt == null) {
-            return;
-        }
-        if (tryRetry(AttemptFailure.NO_ANSWER)) {
-            Attempt silent = attempt;
-            silent.abandon();
-            silent.recordFailure(AttemptFailure.NO_ANSWER, "silent");
-            resend(silent, AttemptFailure.NO_ANSWER);
-        }
+        takeover.onTargetSilent();
+    }
+
+    @Override
+    public Optional<TargetSelector.Selection> chooseOther(Attempt replaced) {
+        return targets.chooseOther(service, replaced.targetId(), timeLeft())
+                .filter(other -> canEndBeforeStop(other.target().id()));
     }
 
     /**
@@ -281,7 +297,8 @@
     void migrate(Attempt migrating) {
         boolean migratable =
                 !ended
-                        && attempt == migrating
+                        && attempts.current() == migrating
+                        && !attempts.hasSuccessor()
                         && request.route().kind() == RequestKind.RESUMABLE_STREAM
                         && !dependencies.stopDeadline().isStopping()
                         && targets.hasOther(service, migrating.targetId(), timeLeft());
@@ -291,14 +308,14 @@
         }
     }
 
-    private boolean tryRetry(AttemptFailure failure) {
-        return retries.tryRetry(service, history, timeLeft(), failure);
+    @Override
+    public boolean tryRetry(AttemptFailure failure) {
+        return retries.tryRetry(service, attempts.history(), timeLeft(), failure);
     }
 
     private void resend(Attempt failed, AttemptFailure failure) {
-        history = history.after(failure);
+        attempts.fail(failure);
         targets.addTried(failed.targetId());
-        attempt = null;
         relay.discardIncompleteEvent();
         sendAgain();
     }
@@ -311,6 +328,10 @@
         }
     }
 
+    Takeover takeover() {
+        return takeover;
+    }
+
     ResponseRelay relay() {
         return relay;
     }
@@ -363,18 +384,20 @@
 
     /** Retries a failed attempt, or ends the request with an error. */
     void onAttemptFailed(Attempt failed, AttemptFailure failure, String detail) {
-        if (ended) {
+        if (ended || !attempts.isInProgress(failed)) {
             return;
         }
-        silenceTimer.stop();
         boolean reserved = retryReserved;
         retryReserved = false;
+        if (takeover.continueWithout(failed, failure)) {
+            return;
+        }
+        silenceTimer.stop();
         if (reserved || tryRetry(failure)) {
             resend(failed, failure);
             return;
         }
-        history = history.after(failure);
-        attempt = null;
+        attempts.fail(failure);
         if (failure == AttemptFailure.REFUSED
                 && relay.isResumable()
                 && dependencies.retryPolicy().tryResume(service)
@@ -392,6 +415,9 @@
      * the request cannot be retried; the target's response is then relayed.
      */
     boolean reserveRetry() {
+        if (attempts.hasSuccessor()) {
+            return true;
+        }
         retryReserved = !relay.isStarted() && tryRetry(AttemptFailure.SERVER_ERROR);
         return retryReserved;
     }
@@ -404,9 +430,8 @@
             caller.abort();
             return;
         }
-        sendError(
-                ErrorResponse.failed(
-                        history.certainlyNotRun(), code, reason, dependencies.random()));
+        boolean notRun = attempts.history().certainlyNotRun();
+        sendError(ErrorResponse.failed(notRun, code, reason, dependencies.random()));
     }
 
     private void sendError(ErrorResponse error) {
@@ -419,10 +444,10 @@
             return;
         }
         request.progress().onError(ErrorCode.DEADLINE_EXCEEDED);
-        boolean wasSent = attempt != null && attempt.wasSent();
-        if (attempt != null) {
-            attempt.abandon();
-            attempt.recordFailure(AttemptFailure.NO_ANSWER, "timeout");
+        attempts.abandon();
+        boolean wasSent = attempts.hasCurrent() && attempts.current().wasSent();
+        if (attempts.hasCurrent()) {
+            attempts.current().recordFailure(AttemptFailure.NO_ANSWER, "timeout");
         }
         if (relay.isStarted()) {
             end(
@@ -434,9 +459,10 @@
             caller.abort();
             return;
         }
-        boolean notRun = history.certainlyNotRun() && !wasSent;
-        history = wasSent ? history.after(AttemptFailure.NO_ANSWER) : history;
-        attempt = null;
+        boolean notRun = attempts.history().certainlyNotRun() && !wasSent;
+        if (wasSent) {
+            attempts.fail(AttemptFailure.NO_ANSWER);
+        }
         sendError(ErrorResponse.deadlinePassed(notRun));
     }
 
@@ -472,7 +498,7 @@
     }
 
     private void onEndChecked(Attempt answered, boolean whole) {
-        if (ended || attempt != answered) {
+        if (ended || attempts.current() != answered) {
             return;
         }
         if (whole) {
@@ -495,15 +521,16 @@
     }
 
     private void end(String outcome, String detail) {
+        attempts.dropSuccessor();
         ended = true;
         deadlineTimer.cancel();
         silenceTimer.stop();
         admission.onEnded();
-        request.settleQuota(history, attempt);
-        attempt = null;
+        request.settleQuota(attempts);
+        attempts.end();
         releaseBody();
         dependencies.metrics().countEndedRequest(outcome);
-        log.ended(outcome, detail, history, timeToFirstByte);
+        log.ended(outcome, detail, attempts.history(), timeToFirstByte);
     }
 
     /** Stops the target's work when the caller's connection ends. */
@@ -511,20 +538,19 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            attempt.abandon();
-        }
+        attempts.abandon();
         end(reason.outcome(), reason.detail());
     }
 
     /** Resumes reading the target's response when the caller's connection accepts bytes again. */
     void onCallerWritable() {
-        if (attempt != null) {
-            attempt.setReading(true);
+        if (attempts.hasCurrent()) {
+            attempts.current().setReading(true);
         }
     }
 
-    boolean isEnded() {
+    @Override
+    public boolean isEnded() {
         return ended;
     }
 
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeLog.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/ExchangeLog.java
@@ -71,6 +71,15 @@
                 + timeLeft.toMillis();
     }
 
+    /** Writes what is done about a target that has been silent for long. */
+    void targetSilent(String target, String outcome) {
+        log.write(
+                DecisionKind.TARGET_SILENT,
+                request.head().requestId(),
+                () -> "target=" + target,
+                outcome);
+    }
+
     /**
      * Writes the end of the request; while the daemon is stopping, also what decided it, the
      * target, and how much of the grace was left.
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
@@ -80,12 +80,10 @@
     /**
      * Charges the organisation's quota for what may have run when the request has ended, and
      * returns the rest.
-     *
-     * @param last the attempt in progress at the end, or null if there was none
      */
-    void settleQuota(RetryPolicy.History history, Attempt last) {
-        boolean lastSent = last != null && last.wasSent();
-        quotaCharge.setRuns(history.attemptsPossiblyRun() + (lastSent ? 1 : 0));
+    void settleQuota(RequestAttempts attempts) {
+        boolean currentSent = attempts.hasCurrent() && attempts.current().wasSent();
+        quotaCharge.setRuns(attempts.history().attemptsPossiblyRun() + (currentSent ? 1 : 0));
     }
 
     /** Returns the timing of the stream that answers the request, whose route is known. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetChoice.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetChoice.java
@@ -42,24 +42,35 @@
 
     /** Returns the target for the next attempt, or empty if none accepts the request. */
     Optional<TargetSelector.Selection> choose(String service, Duration timeLeft) {
+        return choose(service, tried, timeLeft);
+    }
+
+    /** Returns another target than the given one, or empty if none accepts the request. */
+    Optional<TargetSelector.Selection> chooseOther(
+            String service, String target, Duration timeLeft) {
+        Set<String> excluded = new HashSet<>(tried);
+        excluded.add(target);
+        return choose(service, excluded, timeLeft);
+    }
+
+    /** Returns whether another target than the given one accepts the request. */
+    boolean hasOther(String service, String target, Duration timeLeft) {
+        return chooseOther(service, target, timeLeft).isPresent();
+    }
+
+    private Optional<TargetSelector.Selection> choose(
+            String service, Set<String> excluded, Duration timeLeft) {
         CrashingContentGuard.Separation separation =
                 dependencies.crashingContents().separation(keys);
         if (separation.none()) {
             return Optional.empty();
         }
-        Set<String> excluded = new HashSet<>(tried);
-        excluded.addAll(separation.targets());
-        Optional<TargetSelector.Selection> separate = select(service, excluded, timeLeft);
+        Set<String> separated = new HashSet<>(excluded);
+        separated.addAll(separation.targets());
+        Optional<TargetSelector.Selection> separate = select(service, separated, timeLeft);
         return separate.isPresent() || separation.required() || separation.targets().isEmpty()
                 ? separate
-                : select(service, tried, timeLeft);
-    }
-
-    /** Returns whether another target than the given one accepts the request. */
-    boolean hasOther(String service, String target, Duration timeLeft) {
-        Set<String> excluded = new HashSet<>(tried);
-        excluded.add(target);
-        return select(service, excluded, timeLeft).isPresent();
+                : select(service, excluded, timeLeft);
     }
 
     private Optional<TargetSelector.Selection> select(
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetWait.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetWait.java
@@ -37,6 +37,11 @@
         return waiting;
     }
 
+    /** Returns whether no target has gone on with the stream since the wait began. */
+    boolean isWaiting() {
+        return since != null;
+    }
+
     /** Notes that a target has gone on with the stream. */
     void end() {
         since = null;
