Send a request on in a planned stop if its target may have run it

What callers saw: a stream that its target broke off while the daemon stopped was closed, and a safe request was answered with 502, though another target would have taken both. Cause: each send of a stopping daemon asked whether the request would end before the stop. That question is for requests that can still be refused as not run: their callers lose nothing. One that has started, or may have run, was given up on a guess instead, the more so while no times were learned. The same question was asked once more when the connection was there, so that a takeover that had been decided could be undone. Change: only requests that certainly have not run are refused for the stop. Evidence: SilentTargetTest.streamOfATargetThatBreaksOff... and SuccessorTargetTest.requestOfATargetThatBreaksOff... failed before and hold now.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -109,7 +109,7 @@
             fail(AttemptFailure.NOT_SENT, "" + failure);
             return;
         }
-        if (!exchange.canEndBeforeStop(targetId())) {
+        if (exchange.isRefusedForStop(targetId())) {
             body.release();
             opened.abort();
             fail(AttemptFailure.NOT_SENT, "the daemon stops before the request could end");
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -195,7 +195,7 @@
             return true;
         }
         TargetSelector.Selection selection = chosen.get();
-        if (!canEndBeforeStop(selection.target().id())) {
+        if (isRefusedForStop(selection.target().id())) {
             fail("the daemon stops before the request could end", ErrorCode.STOPPING);
             return true;
         }
@@ -247,10 +247,20 @@
      * Returns whether a request that is sent to a target now ends, with its answer or at its
      * deadline, before a daemon that is stopping ends whatever is in progress.
      */
-    boolean canEndBeforeStop(String target) {
+    private boolean canEndBeforeStop(String target) {
         return dependencies.stopDeadline().canEnd(request.route().name(), target, timeLeft());
     }
 
+    /**
+     * Returns whether the request is refused because it may not end before the stop. One that may
+     * have run cannot be refused as not run, so that another attempt is its best chance.
+     */
+    boolean isRefusedForStop(String target) {
+        return !relay.isStarted()
+                && attempts.history().certainlyNotRun()
+                && !canEndBeforeStop(target);
+    }
+
     /** Refuses the request, whose body is not complete, if it could not end before the stop. */
     void refuseIfStoppingTooSoon() {
         if (!canEndBeforeStop("")) {
