Relay a target's own failure if no other target would take the request

What callers saw: 502 in place of a target's signed 500. Cause: the response was rejected for a retry before it was known whether another target takes the request. Class: letting go of what is in hand first. Evidence: SilentTargetTest.signedFailureIsRelayed... failed before (502) and holds now.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -236,7 +236,7 @@
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
         } else if (status >= FIRST_SERVER_ERROR && !response.signed()) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
-        } else if (status >= FIRST_SERVER_ERROR && exchange.reserveRetry()) {
+        } else if (status >= FIRST_SERVER_ERROR && exchange.reserveRetry(this)) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
         } else if (exchange.relay().isStarted() && !response.isSuccess()) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -422,13 +422,16 @@
 
     /**
      * Takes a retry from the retry budget after an error response of the target. Returns false if
-     * the request cannot be retried; the target's response is then relayed.
+     * the request cannot be retried, or at no other target; the response is then relayed.
      */
-    boolean reserveRetry() {
+    boolean reserveRetry(Attempt failing) {
         if (attempts.hasSuccessor()) {
             return true;
         }
-        retryReserved = !relay.isStarted() && tryRetry(AttemptFailure.SERVER_ERROR);
+        retryReserved =
+                !relay.isStarted()
+                        && chooseOther(failing).isPresent()
+                        && tryRetry(AttemptFailure.SERVER_ERROR);
         return retryReserved;
     }
 
