Take no caller that does not read for a silent target

What callers saw: a stream ran at two targets because its caller did not read for a while; in a planned stop, before the takeover, it was cut. Cause: while a caller's connection accepts no more bytes, its target is not read from, so that no event comes. The silence timer took that for silence of the target. Change: the timer starts again while the caller's connection is full. Evidence: SuccessorTargetTest.streamOfACallerThatDoesNotReadStaysAtItsTarget, a caller that begins to read after 2 s: two requests reached targets before, one does now. Found in review.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/SilenceTimer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/SilenceTimer.java
@@ -77,6 +77,11 @@
     }
 
     private void onTimeout() {
+        if (!relay.isWritable()) {
+            // The target is not read from until the caller has read what was sent to it.
+            restart();
+            return;
+        }
         Route route = request.route();
         boolean targetAlive =
                 route.kind().isStream() && targetSentBytesWithin.test(route.latencyObjective());
