Count the silence of one attempt once against its target

What callers saw: the next request went to a target that had just refused, instead of one that had been silent for a single request. Cause: each time another target refused the request of a silent one, the silence was recorded again, so that two refusals within a millisecond ejected it. Change: an attempt records its silence once. Found in review.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -46,6 +46,7 @@
     private boolean prefillComplete;
     private boolean successful;
     private boolean provenHarmless;
+    private boolean silenceRecorded;
     private Instant firstByteAt;
     private long discardedBytes;
     private AttemptFailure rejection;
@@ -426,6 +427,14 @@
         exchange.onAttemptFailed(this, attemptFailure, detail);
     }
 
+    /** Records once that the target has been silent for long, however many others are asked. */
+    void recordSilence() {
+        if (!silenceRecorded) {
+            silenceRecorded = true;
+            recordFailure(AttemptFailure.NO_ANSWER, "silent");
+        }
+    }
+
     /** Records the failure in the target's state and writes it to the log. */
     void recordFailure(AttemptFailure attemptFailure, String detail) {
         Instant now = dependencies.clock().instant();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
@@ -88,7 +88,7 @@
             return false;
         }
         targets.addTried(silent.targetId());
-        silent.recordFailure(AttemptFailure.NO_ANSWER, "silent");
+        silent.recordSilence();
         Attempt successor = attemptFactory.apply(chosen.get());
         attempts.beginSuccessor(successor);
         request.start(successor, chosen.get());
