Answer pipelined requests that were read before a connection ends in a stop

Cause: in a planned stop each response announced the end of its connection, and the connection was closed behind it, even if the daemon had already read further requests on it. After the time for new requests, a connection was closed behind a response that had announced nothing, with the same effect.

Change: a response announces the end of its connection only if no further request waits on it; waiting requests count as in progress, and are answered or refused before the connection ends.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -72,6 +72,9 @@
     private boolean responsePending;
     private boolean closeAfterResponse;
 
+    /** Whether the connection ends once all requests that have been read are answered. */
+    private boolean closeWhenIdle;
+
     /** Whether only the end of the connection shows that the response in progress is complete. */
     private boolean responseEndsByClose;
 
@@ -139,7 +142,7 @@
 
     /** Closes the connection as soon as no request is in progress. */
     void closeWhenIdle() {
-        closeAfterResponse = true;
+        closeWhenIdle = true;
         if (!isBusy() && requestFirstByteAt == null) {
             channel.close();
         }
@@ -152,9 +155,12 @@
         }
     }
 
-    /** Returns whether a request is in progress, or bytes of its response are still to be sent. */
+    /** Returns whether a request is in progress or waits, or bytes of its response are unsent. */
     boolean isBusy() {
-        return responsePending || receivingRequest || unwrittenResponses > 0;
+        return responsePending
+                || receivingRequest
+                || unwrittenResponses > 0
+                || !pipelinedMessages.isEmpty();
     }
 
     @Override
@@ -174,6 +180,11 @@
         process(httpObject);
     }
 
+    /** Returns whether a request waits whose head has been read, other than the current one. */
+    private boolean hasPipelinedRequest() {
+        return pipelinedMessages.stream().anyMatch(HttpRequest.class::isInstance);
+    }
+
     private void process(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
@@ -246,7 +257,7 @@
             reject(BAD_REQUEST, exception.getMessage());
             return;
         }
-        closeAfterResponse = server.isClosingAfterResponses() || !HttpUtil.isKeepAlive(head);
+        closeAfterResponse = !HttpUtil.isKeepAlive(head);
         RequestContext context = new RequestContext(requestHead, dependencies.clock().instant());
         exchange = new Exchange(dependencies, context, head.headers(), this);
         if (!exchange.applyFilters()) {
@@ -304,7 +315,8 @@
 
     @Override
     public void sendHead(HttpResponse head) {
-        if (server.isClosingAfterResponses()) {
+        // Requests that have been read behind this one are answered before the connection ends.
+        if (server.isClosingAfterResponses() && !hasPipelinedRequest()) {
             closeAfterResponse = true;
         }
         responseEndsByClose = !BodyFraming.isSelfDelimited(head);
@@ -328,6 +340,9 @@
         responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
         releaseBody();
+        if (closeWhenIdle && !hasPipelinedRequest()) {
+            closeAfterResponse = true;
+        }
         unwrittenResponses++;
         var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         written.addListener(done -> onResponseWritten());
