Keep a request that crosses a close from destroying the answer before it

Cause: a connection was closed in both directions as soon as its last response was written to the socket. The kernel answers bytes that come later, or that are unread at the close, with a reset, and drops what it has not delivered yet of the response. If a request was refused while the response before it was still unwritten, the close dropped that response's bytes in the process, too.

Change: the daemon ends its own direction once all responses are written, and drops what still comes until the caller ends its direction or the linger time is over, as it already did for the rest of an uploaded request.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,6 +30,7 @@
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.route.CallerLimits;
+import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.wire.BodyFraming;
 import org.bergamothoist.gateway.wire.MalformedRequestException;
 import org.bergamothoist.gateway.wire.RequestHead;
@@ -46,7 +48,11 @@
     /** The same for the bytes of their bodies. */
     private static final int MAXIMUM_PIPELINED_BYTES = 64 << 10;
 
-    /** Time for which the rest of a request is read after its response, before the close. */
+    /**
+     * Time for which what the caller still sends is read after the last response, before the close:
+     * the kernel resets a connection that is closed with unread bytes, and drops the rest of the
+     * response.
+     */
     private static final Duration LINGER = Duration.ofSeconds(2);
 
     private static final int BAD_REQUEST = 400;
@@ -75,6 +81,12 @@
     /** Whether the connection ends once all requests that have been read are answered. */
     private boolean closeWhenIdle;
 
+    /** Whether the connection ends once its responses are written; what still comes is dropped. */
+    private boolean ending;
+
+    private boolean outputEnded;
+    private Scheduler.Cancellable lingerTimer = () -> {};
+
     /** Whether only the end of the connection shows that the response in progress is complete. */
     private boolean responseEndsByClose;
 
@@ -106,6 +118,9 @@
 
     /** Records the time of bytes from the caller, before they are decoded. */
     void onBytesReceived() {
+        if (ending) {
+            return;
+        }
         lastActiveAt = dependencies.clock().instant();
         if (requestFirstByteAt == null && !receivingRequest) {
             requestFirstByteAt = lastActiveAt;
@@ -114,6 +129,9 @@
 
     /** Rejects a request that arrives too slowly and closes an idle connection. */
     void enforceTimeouts(CallerLimits limits, Instant now) {
+        if (outputEnded) {
+            return;
+        }
         if (responsePending) {
             lastActiveAt = now;
             return;
@@ -144,7 +162,7 @@
     void closeWhenIdle() {
         closeWhenIdle = true;
         if (!isBusy() && requestFirstByteAt == null) {
-            channel.close();
+            endConnection();
         }
     }
 
@@ -165,6 +183,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (ending) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         HttpObject httpObject = (HttpObject) message;
         if (responsePending && !receivingRequest || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(httpObject);
@@ -221,7 +243,7 @@
                         () -> reason,
                         String.valueOf(status));
         if (responseSent) {
-            channel.close();
+            endConnection();
             return;
         }
         if (responsePending) {
@@ -291,7 +313,7 @@
             body = null;
             exchange.dispatch(complete, BodyFraming.isExplicit(request));
         } else if (exchange.isEnded() && !responsePending && closeAfterResponse) {
-            channel.close();
+            endConnection();
         } else if (exchange.isEnded() && !responsePending) {
             processPipelinedMessages();
         }
@@ -344,15 +366,15 @@
             closeAfterResponse = true;
         }
         unwrittenResponses++;
-        var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        written.addListener(done -> onResponseWritten());
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(done -> onResponseWritten());
         if (closeAfterResponse && receivingRequest) {
             // A close while the request still arrives would reset the response on its way.
-            dependencies.scheduler().schedule(LINGER, channel::close);
+            lingerTimer = dependencies.scheduler().schedule(LINGER, this::endConnection);
             return;
         }
         if (closeAfterResponse) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            endConnection();
             return;
         }
         if (!receivingRequest) {
@@ -367,6 +389,38 @@
         if (unwrittenResponses == 0) {
             responseEndsByClose = false;
         }
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection once its responses are written. */
+    private void endConnection() {
+        if (ending) {
+            return;
+        }
+        ending = true;
+        receivingRequest = false;
+        requestFirstByteAt = null;
+        releasePipelinedMessages();
+        channel.config().setAutoRead(true);
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection's own direction; the caller's is read until it ends, for a while. */
+    private void endOutputOnceWritten() {
+        if (!ending || outputEnded || unwrittenResponses > 0 || !channel.isActive()) {
+            return;
+        }
+        outputEnded = true;
+        lingerTimer.cancel();
+        lingerTimer = dependencies.scheduler().schedule(LINGER, channel::close);
+        ((DuplexChannel) channel)
+                .shutdownOutput()
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    private void releasePipelinedMessages() {
+        pipelinedMessages.forEach(ReferenceCountUtil::release);
+        pipelinedMessages.clear();
     }
 
     private void startNextRequest() {
@@ -423,8 +477,8 @@
             exchange.onCallerDisconnected();
         }
         releaseBody();
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
+        releasePipelinedMessages();
+        lingerTimer.cancel();
     }
 
     /** Releases what has been received of a body that is not dispatched. */
