Leave to the kernel what slow readers have not received at the end of a stop

Cause: an answer that the kernel's send buffer could not take whole was cut at the end of the grace, although the kernel goes on sending what it holds after the process has ended.

Change: in the last 500 ms of a stop, the send buffers of connections that wait for space are raised to the largest size that the kernel allows, so that the rest of the answer fits, also what the relay had not read from the target yet. Buffers that the kernel has raised further by itself stay as they are.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -29,6 +29,12 @@
 
     private static final Duration STOP_CHECK = Duration.ofMillis(100);
 
+    /**
+     * Time before the end from which the kernel takes over what slow readers have not received:
+     * several checks, so that a busy event loop also gets to hand it over.
+     */
+    private static final Duration HAND_OVER = STOP_CHECK.multipliedBy(5);
+
     private final DaemonId self;
     private final double graceSeconds;
     private final CallerServer callers;
@@ -96,6 +102,9 @@
         callers.refuseRequestsThatCannotEnd();
         boolean late = !clock.instant().isBefore(endsAt);
         long busy = callers.busyConnections();
+        if (!clock.instant().isBefore(endsAt.minus(HAND_OVER))) {
+            callers.raiseSendBuffers();
+        }
         if (busy > 0 && !late) {
             scheduler.schedule(STOP_CHECK, this::finish);
             return;
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -418,6 +418,14 @@
                 .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
+    /** Raises the send buffer if bytes wait for space in it. */
+    void raiseSendBuffer(int bytes) {
+        boolean waits = !outputEnded && !channel.isWritable() || unwrittenResponses > 0;
+        if (waits && channel.config().getOption(ChannelOption.SO_SNDBUF) < bytes) {
+            channel.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+        }
+    }
+
     private void releasePipelinedMessages() {
         pipelinedMessages.forEach(ReferenceCountUtil::release);
         pipelinedMessages.clear();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -2,17 +2,20 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.route.CallerLimits;
 import org.bergamothoist.core.route.ConfigurationHolder;
 import org.bergamothoist.core.route.RouteConfiguration;
@@ -123,6 +126,25 @@
         List.copyOf(connections).forEach(CallerConnectionHandler::refuseIfStoppingTooSoon);
     }
 
+    /**
+     * Lets the kernel take as much as it can of what slow readers have not received yet: it goes on
+     * sending that after the end of the process.
+     */
+    public void raiseSendBuffers() {
+        try {
+            int largest = LargestSendBuffer.bytes();
+            List.copyOf(connections).forEach(connection -> connection.raiseSendBuffer(largest));
+        } catch (IOException | ChannelException exception) {
+            dependencies
+                    .log()
+                    .write(
+                            DecisionKind.CALLER_FAULT,
+                            "send buffers",
+                            () -> "" + exception,
+                            "slow readers may lose what the daemon still holds");
+        }
+    }
+
     /** Closes all connections; a response in progress does not look complete. */
     public void abortConnections() {
         List.copyOf(connections).forEach(CallerConnectionHandler::abort);
