Count the grace of a planned stop from when the stop is asked for

Cause: the time for new requests and the grace counted from when the event loop handled the request to stop, and requests were refused from when a timer ran. On a slow VM, or with a busy event loop, the daemon took requests later than 3 s after the signal and went on until the kill.

Change: the termination hook's thread records the instant before it hands over to the event loop, all times count from it, and whether requests are refused is computed from the clock.

Measured: PlannedStopTimingTest passes (five cases); with the instant taken when the event loop begins, as before, the late cases, the late timer and the second request fail. Not measured on a slow VM.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
 import org.bergamothoist.core.identity.DaemonId;
@@ -12,7 +13,7 @@
 
 /**
  * Ends a daemon's work on callers' requests within the grace period of a stop signal. Confined to
- * the event loop.
+ * the event loop, but for {@link #request}.
  */
 final class PlannedStop {
 
@@ -42,8 +43,9 @@
     private final InstantSource clock;
     private final DecisionLog log;
     private Runnable onStopped = () -> {};
-    private boolean refusing;
-    private Instant endsAt;
+
+    /** When the stop was asked for, on any thread; null before. */
+    private final AtomicReference<Instant> requestedAt = new AtomicReference<>();
 
     PlannedStop(
             DaemonId self,
@@ -62,37 +64,56 @@
 
     /** Returns whether new requests are refused. */
     boolean isRefusing() {
-        return refusing;
+        return after(stillAccepting())
+                .filter(refusesFrom -> !clock.instant().isBefore(refusesFrom))
+                .isPresent();
     }
 
     /** Returns when whatever is in progress ends, or empty before the signal to stop. */
     Optional<Instant> endsAt() {
-        return Optional.ofNullable(endsAt);
+        return after(grace(1).minus(STOP_MARGIN));
+    }
+
+    private Optional<Instant> after(Duration duration) {
+        return Optional.ofNullable(requestedAt.get()).map(instant -> instant.plus(duration));
     }
 
     /**
-     * Begins the stop.
+     * Notes that the stop is asked for. The grace and the time for new requests count from now, not
+     * from when a busy event loop begins the stop. May be called on any thread.
+     */
+    void request() {
+        requestedAt.compareAndSet(null, clock.instant());
+    }
+
+    /**
+     * Begins the stop that was asked for.
      *
      * @param whenStopped called once nothing is in progress or the grace period ends
      */
     void begin(Runnable whenStopped) {
         onStopped = whenStopped;
-        endsAt = clock.instant().plus(grace(1)).minus(STOP_MARGIN);
+        request();
         log.write(
                 DecisionKind.DAEMON_STOPPING,
                 self.toString(),
                 () -> "requests=" + callers.busyConnections(),
                 "not ready");
-        Duration share = grace(STILL_ACCEPTING_SHARE);
+        Duration elapsed = Duration.between(requestedAt.get(), clock.instant());
+        Duration left = stillAccepting().minus(elapsed);
         scheduler.schedule(
-                share.compareTo(STILL_ACCEPTING) < 0 ? share : STILL_ACCEPTING,
+                left.isNegative() ? Duration.ZERO : left,
                 () -> {
-                    refusing = true;
                     callers.stopListening();
                     finish();
                 });
     }
 
+    private Duration stillAccepting() {
+        Duration share = grace(STILL_ACCEPTING_SHARE);
+        return share.compareTo(STILL_ACCEPTING) < 0 ? share : STILL_ACCEPTING;
+    }
+
     private Duration grace(double share) {
         double milliseconds = graceSeconds * MILLISECONDS_PER_SECOND * share;
         return Duration.ofMillis(Math.round(milliseconds));
@@ -100,6 +121,7 @@
 
     private void finish() {
         callers.refuseRequestsThatCannotEnd();
+        Instant endsAt = endsAt().orElseThrow();
         boolean late = !clock.instant().isBefore(endsAt);
         long busy = callers.busyConnections();
         if (!clock.instant().isBefore(endsAt.minus(HAND_OVER))) {
