--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -30,6 +31,7 @@
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.route.CallerLimits;
+import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.wire.BodyFraming;
 import org.bergamothoist.gateway.wire.MalformedRequestException;
 import org.bergamothoist.gateway.wire.RequestHead;
@@ -47,7 +49,11 @@
     /** The same for the bytes of their bodies. */
     private static final int MAXIMUM_PIPELINED_BYTES = 64 << 10;
 
-    /** Time for which the rest of a request is read after its response, before the close. */
+    /**
+     * Time for which what the caller still sends is read after the last response, before the close:
+     * the kernel resets a connection that is closed with unread bytes, and drops the rest of the
+     * response.
+     */
     private static final Duration LINGER = Duration.ofSeconds(2);
 
     private static final int BAD_REQUEST = 400;
@@ -80,6 +86,15 @@
     private boolean responsePending;
     private boolean closeAfterResponse;
 
+    /** Whether the connection ends once all requests that have been read are answered. */
+    private boolean closeWhenIdle;
+
+    /** Whether the connection ends once its responses are written; what still comes is dropped. */
+    private boolean ending;
+
+    private boolean outputEnded;
+    private Scheduler.Cancellable lingerTimer = () -> {};
+
     /** Whether only the end of the connection shows that the response in progress is complete. */
     private boolean responseEndsByClose;
 
@@ -111,6 +126,9 @@
 
     /** Records the time of bytes from the caller, before they are decoded. */
     void onBytesReceived() {
+        if (ending) {
+            return;
+        }
         lastActiveAt = dependencies.clock().instant();
         if (requestFirstByteAt == null && !receivingRequest) {
             requestFirstByteAt = lastActiveAt;
@@ -119,6 +137,9 @@
 
     /** Rejects a request that arrives too slowly and closes an idle connection. */
     void enforceTimeouts(CallerLimits limits, Instant now) {
+        if (outputEnded) {
+            return;
+        }
         if (responsePending) {
             lastActiveAt = now;
             return;
@@ -159,9 +180,9 @@
 
     /** Closes the connection as soon as no request is in progress. */
     void closeWhenIdle() {
-        closeAfterResponse = true;
+        closeWhenIdle = true;
         if (!isBusy() && requestFirstByteAt == null) {
-            channel.close();
+            endConnection();
         }
     }
 
@@ -172,13 +193,20 @@
         }
     }
 
-    /** Returns whether a request is in progress, or bytes of its response are still to be sent. */
+    /** Returns whether a request is in progress or waits, or bytes of its response are unsent. */
     boolean isBusy() {
-        return responsePending || receivingRequest || unwrittenResponses > 0;
+        return responsePending
+                || receivingRequest
+                || unwrittenResponses > 0
+                || !pipelinedMessages.isEmpty();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (ending) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         HttpObject httpObject = (HttpObject) message;
         if (responsePending && !receivingRequest || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(httpObject);
@@ -194,6 +222,11 @@
         process(httpObject);
     }
 
+    /** Returns whether a request waits whose head has been read, other than the current one. */
+    private boolean hasPipelinedRequest() {
+        return pipelinedMessages.stream().anyMatch(HttpRequest.class::isInstance);
+    }
+
     private void process(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
@@ -230,7 +263,7 @@
                         () -> reason,
                         String.valueOf(status));
         if (responseSent) {
-            channel.close();
+            endConnection();
             return;
         }
         if (responsePending) {
@@ -264,7 +297,7 @@
             reject(BAD_REQUEST, exception.getMessage());
             return;
         }
-        closeAfterResponse = server.isClosingAfterResponses() || !HttpUtil.isKeepAlive(head);
+        closeAfterResponse = !HttpUtil.isKeepAlive(head);
         RequestContext context =
                 new RequestContext(
                         requestHead,
@@ -303,7 +336,7 @@
             exchange.request().progress().onBodyReceived();
             exchange.dispatch(complete, BodyFraming.isExplicit(request));
         } else if (exchange.isEnded() && !responsePending && closeAfterResponse) {
-            channel.close();
+            endConnection();
         } else if (exchange.isEnded() && !responsePending) {
             processPipelinedMessages();
         }
@@ -327,7 +360,8 @@
 
     @Override
     public void sendHead(HttpResponse head) {
-        if (server.isClosingAfterResponses()) {
+        // Requests that have been read behind this one are answered before the connection ends.
+        if (server.isClosingAfterResponses() && !hasPipelinedRequest()) {
             closeAfterResponse = true;
         }
         responseEndsByClose = !BodyFraming.isSelfDelimited(head);
@@ -351,17 +385,20 @@
         responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
         releaseBody();
+        if (closeWhenIdle && !hasPipelinedRequest()) {
+            closeAfterResponse = true;
+        }
         unwrittenResponses++;
-        var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         Exchange answered = exchange;
-        written.addListener(done -> onResponseWritten(answered, done.isSuccess()));
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(done -> onResponseWritten(answered, done.isSuccess()));
         if (closeAfterResponse && receivingRequest) {
             // A close while the request still arrives would reset the response on its way.
-            dependencies.scheduler().schedule(LINGER, channel::close);
+            lingerTimer = dependencies.scheduler().schedule(LINGER, this::endConnection);
             return;
         }
         if (closeAfterResponse) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            endConnection();
             return;
         }
         if (!receivingRequest) {
@@ -380,6 +417,46 @@
         if (unwrittenResponses == 0) {
             responseEndsByClose = false;
         }
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection once its responses are written. */
+    private void endConnection() {
+        if (ending) {
+            return;
+        }
+        ending = true;
+        receivingRequest = false;
+        requestFirstByteAt = null;
+        releasePipelinedMessages();
+        channel.config().setAutoRead(true);
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection's own direction; the caller's is read until it ends, for a while. */
+    private void endOutputOnceWritten() {
+        if (!ending || outputEnded || unwrittenResponses > 0 || !channel.isActive()) {
+            return;
+        }
+        outputEnded = true;
+        lingerTimer.cancel();
+        lingerTimer = dependencies.scheduler().schedule(LINGER, channel::close);
+        ((DuplexChannel) channel)
+                .shutdownOutput()
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Raises the send buffer if bytes wait for space in it. */
+    void raiseSendBuffer(int bytes) {
+        boolean waits = !outputEnded && !channel.isWritable() || unwrittenResponses > 0;
+        if (waits && channel.config().getOption(ChannelOption.SO_SNDBUF) < bytes) {
+            channel.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+        }
+    }
+
+    private void releasePipelinedMessages() {
+        pipelinedMessages.forEach(ReferenceCountUtil::release);
+        pipelinedMessages.clear();
     }
 
     private void startNextRequest() {
@@ -454,8 +531,8 @@
         server.remove(this);
         onDisconnected();
         releaseBody();
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
+        releasePipelinedMessages();
+        lingerTimer.cancel();
     }
 
     /** Releases what has been received of a body that is not dispatched. */
