Write the lines of all answers that end at one moment of a planned stop

Cause: the log writes at most 200 lines of a kind in a second, and counts what it suppressed in the next second, which a stopped process does not have. With more than 200 answers in progress at the end of the grace, the rest had no line. Change: from daemon-stopping on the limit is 1,500 lines, less than the 2,048 that the logger holds, and daemon-stopped is preceded by the count of those that are suppressed all the same.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/StructuredDecisionLog.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/StructuredDecisionLog.java
@@ -25,6 +25,12 @@
     /** Maximum lines of a kind per second: about five times those of a daemon at full load. */
     private static final int MAXIMUM_LINES = 200;
 
+    /**
+     * The same while the daemon stops, when all requests in progress may end at one moment. Less
+     * than the lines that the logger holds before it drops any.
+     */
+    private static final int MAXIMUM_LINES_STOPPING = 1_500;
+
     private static final Duration WINDOW = Duration.ofSeconds(1);
     private static final Logger LOGGER = LogManager.getLogger("decisions");
     private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
@@ -35,6 +41,7 @@
     private final Map<DecisionKind, Integer> linesByKind = new EnumMap<>(DecisionKind.class);
     private Instant windowStart;
     private long suppressedInWindow;
+    private int maximumLines = MAXIMUM_LINES;
 
     /**
      * Creates a log.
@@ -52,10 +59,14 @@
     @Override
     public void write(DecisionKind kind, String subject, Supplier<String> inputs, String outcome) {
         Instant now = wallClock.instant();
-        if (now.isAfter(windowStart.plus(WINDOW)) || now.isBefore(windowStart)) {
+        boolean last = kind == DecisionKind.DAEMON_STOPPED;
+        if (last || now.isAfter(windowStart.plus(WINDOW)) || now.isBefore(windowStart)) {
             startWindow(now);
         }
-        if (linesByKind.merge(kind, 1, Integer::sum) > MAXIMUM_LINES) {
+        if (kind == DecisionKind.DAEMON_STOPPING) {
+            maximumLines = MAXIMUM_LINES_STOPPING;
+        }
+        if (linesByKind.merge(kind, 1, Integer::sum) > maximumLines) {
             suppressedInWindow++;
             suppressedCounter.inc();
             return;
