--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -106,15 +106,20 @@
             scheduler.schedule(STOP_CHECK, this::finish);
             return;
         }
+        long pipelined = callers.pipelinedRequests();
         long partialHeads = callers.connectionsWithPartialHead();
         long graceLeft = Duration.between(clock.instant(), endsAt).toMillis();
-        callers.abortConnections();
+        long cut = callers.abortConnections();
         log.write(
                 DecisionKind.DAEMON_STOPPED,
                 self.toString(),
                 () ->
                         "requests="
                                 + busy
+                                + " cut="
+                                + cut
+                                + " pipelined="
+                                + pipelined
                                 + " partial-heads="
                                 + partialHeads
                                 + " grace-left="
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -152,6 +153,11 @@
         return buffer == null ? bytesToWriteAtClose : buffer.totalPendingWriteBytes();
     }
 
+    /** Returns the number of requests that wait for the answer to an earlier one. */
+    long pipelinedRequests() {
+        return pipelinedMessages.stream().filter(HttpRequest.class::isInstance).count();
+    }
+
     /** Returns whether part of the head of a request has been received. */
     boolean hasPartialHead() {
         return requestFirstByteAt != null;
@@ -234,6 +240,7 @@
             return;
         }
         if (responsePending) {
+            disconnection = Disconnection.CONNECTION_FAULT;
             onDisconnected();
             channel.close();
             return;
@@ -311,6 +318,7 @@
 
     private boolean appendBody(ByteBuf piece) {
         if (body.readableBytes() + piece.readableBytes() > server.limits().bodyBytes()) {
+            disconnection = Disconnection.CONNECTION_FAULT;
             onDisconnected();
             responsePending = false;
             reject(
@@ -475,6 +483,9 @@
                         String.valueOf(context.channel().remoteAddress()),
                         () -> "" + cause,
                         "connection closed");
+        if (!(cause instanceof IOException)) {
+            disconnection = Disconnection.CONNECTION_FAULT;
+        }
         close();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -127,9 +127,17 @@
     /**
      * Closes all connections at the end of the grace; a response in progress does not look
      * complete. What this ends has been logged when the method returns.
+     *
+     * @return the number of answers that this ended without their last byte
      */
-    public void abortConnections() {
+    public long abortConnections() {
+        long before = countEndings();
         List.copyOf(connections).forEach(CallerConnectionHandler::abortAtGraceEnd);
+        return countEndings() - before;
+    }
+
+    private long countEndings() {
+        return endings().values().stream().mapToLong(Long::longValue).sum();
     }
 
     /** Returns the numbers of requests that have ended, by outcome. */
@@ -137,6 +145,11 @@
         return dependencies.metrics().endings();
     }
 
+    /** Returns the number of requests that wait behind another one on their connection. */
+    public long pipelinedRequests() {
+        return connections.stream().mapToLong(CallerConnectionHandler::pipelinedRequests).sum();
+    }
+
     /** Returns the number of connections on which part of a request's head has been received. */
     public long connectionsWithPartialHead() {
         return connections.stream().filter(CallerConnectionHandler::hasPartialHead).count();
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Disconnection.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Disconnection.java
@@ -2,12 +2,18 @@
 
 /** Why a caller's connection ends while an answer on it has not been sent to its last byte. */
 enum Disconnection {
-    /** The caller closed or reset the connection, or sent what cannot be processed. */
+    /** The caller closed or reset the connection. */
     CALLER_LEFT(
             "caller-left",
             "caller-left-unwritten",
             EndDecision.CALLER_LEFT,
             "connection closed by the caller"),
+    /** The caller's bytes were not valid, or an unexpected failure happened. */
+    CONNECTION_FAULT(
+            "caller-left",
+            "caller-fault-unwritten",
+            EndDecision.ERROR,
+            "connection closed by the caller"),
     /** The caller accepted no byte of the answer within the idle timeout. */
     CALLER_IDLE(
             "caller-idle",
