--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -211,8 +211,12 @@
                         scheduler,
                         log);
         this.rollout = createRollout(platform.engineOrders(controlCaller));
-        this.plannedStop =
-                new PlannedStop(self, settings.graceSeconds(), callers, scheduler, clock, log);
+        this.plannedStop = createPlannedStop();
+    }
+
+    private PlannedStop createPlannedStop() {
+        return new PlannedStop(
+                self, settings.graceSeconds(), callers, callers::endings, scheduler, clock, log);
     }
 
     private OwnAddressRecord createOwnAddress() {
@@ -322,7 +326,7 @@
         PreDispatchFilters filters =
                 new PreDispatchFilters(
                         clusterView.configuration(),
-                        this::isRefusing,
+                        () -> plannedStop.isRefusing(),
                         new QuotaFilter(quotas),
                         random);
         return new ExchangeDependencies(
@@ -336,7 +340,7 @@
                         clusterView,
                         activeAttempts,
                         callerDaemons::count,
-                        () -> stopsAt().isPresent(),
+                        () -> plannedStop.endsAt().isPresent(),
                         scheduler,
                         clock,
                         random,
@@ -349,7 +353,7 @@
                 activeAttempts,
                 new RelayMetrics(metrics),
                 heldBytes,
-                new StopDeadline(this::stopsAt, clock),
+                new StopDeadline(() -> plannedStop.endsAt(), clock),
                 scheduler,
                 clock,
                 random,
@@ -538,14 +542,6 @@
                 .allMatch(report -> self.name().compareTo(report.daemon().name()) <= 0);
     }
 
-    private Optional<Instant> stopsAt() {
-        return plannedStop.endsAt();
-    }
-
-    private boolean isRefusing() {
-        return plannedStop.isRefusing();
-    }
-
     private boolean isOrderHolder() {
         return lease.isHolder();
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/PlannedStop.java
@@ -8,6 +8,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.decision.DecisionLog;
@@ -43,6 +44,7 @@
     private final DaemonId self;
     private final double graceSeconds;
     private final CallerServer callers;
+    private final Supplier<SortedMap<String, Long>> endings;
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final DecisionLog log;
@@ -52,16 +54,23 @@
     /** When the stop was asked for, on any thread; null before. */
     private final AtomicReference<Instant> requestedAt = new AtomicReference<>();
 
+    /**
+     * Creates a stop that is not asked for.
+     *
+     * @param endings the number of requests that have ended, by outcome
+     */
     PlannedStop(
             DaemonId self,
             double graceSeconds,
             CallerServer callers,
+            Supplier<SortedMap<String, Long>> endings,
             Scheduler scheduler,
             InstantSource clock,
             DecisionLog log) {
         this.self = self;
         this.graceSeconds = graceSeconds;
         this.callers = callers;
+        this.endings = endings;
         this.scheduler = scheduler;
         this.clock = clock;
         this.log = log;
@@ -99,7 +108,7 @@
     void begin(Runnable whenStopped) {
         onStopped = whenStopped;
         request();
-        endingsBefore = callers.endings();
+        endingsBefore = endings.get();
         log.write(
                 DecisionKind.DAEMON_STOPPING,
                 self.toString(),
@@ -162,7 +171,7 @@
 
     /** Describes how many requests have ended since the signal to stop, by outcome. */
     private String describeEndings() {
-        return callers.endings().entrySet().stream()
+        return endings.get().entrySet().stream()
                 .map(
                         ending ->
                                 Map.entry(
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/PlannedStopTimingTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/PlannedStopTimingTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
 import org.bergamothoist.core.identity.DaemonId;
 import org.bergamothoist.core.time.Scheduler;
@@ -27,6 +28,7 @@
                     new DaemonId("daemon-1", 1),
                     GRACE_SECONDS,
                     new CallerServer(null, null, null),
+                    TreeMap::new,
                     new RecordingScheduler(),
                     now::get,
                     (kind, subject, inputs, outcome) -> {});
