Ask targets again while a silent one keeps its request

What callers saw: a stream stood still until its timeout when the target that took it over sent no event either, since the first one was not asked again; 504 at the deadline in place of the signed 500 of a target that was asked beside a silent one. Cause: targets that had been silent or had refused once were left out for good, and a failure of the second target counted for less than the silence of the first. Change: if no other target is left, all but the one that keeps the request may be asked again; after a refusal every 100 ms for a second. The signed failure of the second target is an answer and is relayed.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Exchange.java
@@ -426,7 +426,7 @@
      */
     boolean reserveRetry(Attempt failing) {
         if (attempts.hasSuccessor()) {
-            return true;
+            return !attempts.isSuccessor(failing);
         }
         retryReserved =
                 !relay.isStarted()
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
@@ -75,11 +75,17 @@
         if (request.isEnded() || !attempts.hasCurrent() || attempts.hasSuccessor()) {
             return;
         }
-        if (!sendToSuccessor()) {
+        if (!sendToSuccessor() && !sendToAnySuccessor()) {
             log.targetSilent(attempts.current().targetId(), "waits");
         }
     }
 
+    /** Asks also targets that were tried before. */
+    private boolean sendToAnySuccessor() {
+        targets.forgetTried();
+        return sendToSuccessor();
+    }
+
     /** Returns false, without effect, if no other target would answer in time. */
     private boolean sendToSuccessor() {
         Attempt silent = attempts.current();
@@ -145,16 +151,9 @@
         }
         targets.addTried(failed.targetId());
         attempts.failSuccessor(failure);
-        if (!sendToSuccessor() && targetWait.schedule(this::lookAgain)) {
-            targets.forgetTried();
+        if (!sendToSuccessor()) {
+            targetWait.schedule(this::begin);
         }
         return true;
     }
-
-    /** Looks for a successor again, unless the target has gone on since. */
-    private void lookAgain() {
-        if (targetWait.isWaiting()) {
-            begin();
-        }
-    }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetWait.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetWait.java
@@ -19,6 +19,8 @@
     /** When the wait began, or null if the stream has a target. */
     private Instant since;
 
+    private Scheduler.Cancellable nextLook = () -> {};
+
     TargetWait(Scheduler scheduler, InstantSource clock) {
         this.scheduler = scheduler;
         this.clock = clock;
@@ -32,18 +34,15 @@
         }
         boolean waiting = now.isBefore(since.plus(MAXIMUM_TIME));
         if (waiting) {
-            scheduler.schedule(CHECK_INTERVAL, lookForTarget);
+            nextLook.cancel();
+            nextLook = scheduler.schedule(CHECK_INTERVAL, lookForTarget);
         }
         return waiting;
     }
 
-    /** Returns whether no target has gone on with the stream since the wait began. */
-    boolean isWaiting() {
-        return since != null;
-    }
-
     /** Notes that a target has gone on with the stream. */
     void end() {
         since = null;
+        nextLook.cancel();
     }
 }
