Send no request on beside a silent one whose target is being checked

Cause: while a broken connection is checked for a crash of its target, a successor that failed was replaced at once, so that content whose last loss was not counted yet could reach one more target. Found in review, by reading. Change: no successor is sent while the silent attempt has ended. Measured: SuccessorTargetTest 9 of 9; no test of its own.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -143,6 +143,11 @@
         return connection;
     }
 
+    /** Returns whether the target works on the request no longer, also if that is being checked. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     boolean wasSent() {
         return sentAt != null;
     }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Takeover.java
@@ -89,6 +89,10 @@
     /** Returns false, without effect, if no other target would answer in time. */
     private boolean sendToSuccessor() {
         Attempt silent = attempts.current();
+        if (silent.hasEnded()) {
+            // Its target may have crashed, which is checked before the request is sent again.
+            return false;
+        }
         Optional<TargetSelector.Selection> chosen = request.chooseOther(silent);
         if (chosen.isEmpty() || !request.tryRetry(AttemptFailure.NO_ANSWER)) {
             return false;
