Name a silent target that was given up before the one that failed

Cause: a silent target is now given up only for another one. If that one fails without an answer, the line of the end named it alone. And an attempt beside a silent target that is dropped as the request ends was named in its place. Change: decided-by=target-silent and given-up name the silent target, unless a target has answered since. An attempt that ends beside a whole answer is not named.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerProgress.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/AnswerProgress.java
@@ -14,6 +14,13 @@
     private final LongSupplier bytesToWrite;
     private boolean bodyReceived;
     private TargetAnswer latest;
+
+    /**
+     * The last answer that this daemon gave up, because its target was silent, if no target has
+     * answered since; else null.
+     */
+    private TargetAnswer givenUp;
+
     private ErrorCode error;
     private Disconnection disconnection;
 
@@ -30,11 +37,26 @@
         bodyReceived = true;
     }
 
-    /** Notes the answer of an attempt that begins or ends; the last one noted is described. */
-    void onLatest(TargetAnswer answer) {
+    /** Notes the answer of an attempt that begins. */
+    void onBegun(TargetAnswer answer) {
         latest = answer;
     }
 
+    /**
+     * Notes the answer of an attempt that ends. The one that ended last is described, unless the
+     * answer of the other one of two attempts is whole.
+     */
+    void onEnded(TargetAnswer answer) {
+        if (answer.isGivenUp()) {
+            givenUp = answer;
+        } else if (answer.hasBegun()) {
+            givenUp = null;
+        }
+        if (latest == null || !latest.isWhole()) {
+            latest = answer;
+        }
+    }
+
     /** Notes the error with which this daemon ends the request. */
     void onError(ErrorCode code) {
         error = code;
@@ -55,6 +77,9 @@
         if (error == ErrorCode.DEADLINE_EXCEEDED) {
             return EndDecision.DEADLINE;
         }
+        if (givenUp != null) {
+            return EndDecision.TARGET_SILENT;
+        }
         return Optional.ofNullable(latest)
                 .flatMap(TargetAnswer::failureDecision)
                 .orElse(
@@ -71,6 +96,9 @@
                 latest == null
                         ? "target=none waited-for=" + (bodyReceived ? "target" : "body")
                         : latest.describe(now);
-        return from + " to-write=" + bytesToWrite.getAsLong();
+        return from
+                + (givenUp == null || givenUp == latest ? "" : givenUp.describeGivenUp(now))
+                + " to-write="
+                + bytesToWrite.getAsLong();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -84,7 +84,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         engineSample.onStarted();
-        exchange.request().progress().onLatest(answer);
+        exchange.request().progress().onBegun(answer);
         suspects = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
         dependencies.activeAttempts().add(this);
         dependencies.livenessChecker().onRequest(selection.target());
@@ -178,7 +178,7 @@
         if (!ended) {
             ended = true;
             answer.onEnded(dependencies.clock().instant());
-            exchange.request().progress().onLatest(answer);
+            exchange.request().progress().onEnded(answer);
             completePrefill();
             engineSample.onEnded();
             dependencies.activeAttempts().remove(this);
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EndDecision.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/EndDecision.java
@@ -11,7 +11,7 @@
     GRACE_ENDED,
     /** The deadline of the request or the timeout of its route passed. */
     DEADLINE,
-    /** This daemon gave the target up, because it was silent. */
+    /** This daemon gave the target up, because it was silent, and no other one answered. */
     TARGET_SILENT,
     /** The target closed or reset the connection. */
     TARGET_BROKE_OFF,
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetAnswer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/TargetAnswer.java
@@ -36,8 +36,12 @@
         readingPaused = !reading;
     }
 
-    /** Notes that the target has ended its answer, perhaps only by closing the connection. */
+    /**
+     * Notes that the target has ended its answer, perhaps only by closing the connection. An
+     * earlier silence no longer counts.
+     */
     void onComplete(boolean byClose) {
+        failure = null;
         endedByTarget = true;
         endedByClose = byClose;
     }
@@ -60,16 +64,28 @@
         failure = attemptFailure;
     }
 
+    /** Returns whether this daemon gave the attempt up after its target had been silent. */
+    boolean isGivenUp() {
+        return abandoned && failure == AttemptFailure.NO_ANSWER;
+    }
+
+    /** Returns whether the target has sent bytes of its answer. */
+    boolean hasBegun() {
+        return lastBytesAt != null;
+    }
+
+    /** Returns whether the target has ended its answer, and no failure is known. */
+    boolean isWhole() {
+        return endedByTarget && failure == null;
+    }
+
     /** Returns what the failure of the attempt says of the target, or empty if nothing. */
     Optional<EndDecision> failureDecision() {
         if (failure == null) {
             return Optional.empty();
         }
         return switch (failure) {
-            case NO_ANSWER ->
-                    Optional.of(
-                            abandoned ? EndDecision.TARGET_SILENT : EndDecision.TARGET_BROKE_OFF);
-            case BROKEN_STREAM -> Optional.of(EndDecision.TARGET_BROKE_OFF);
+            case NO_ANSWER, BROKEN_STREAM -> Optional.of(EndDecision.TARGET_BROKE_OFF);
             case REFUSED, SERVER_ERROR -> Optional.of(EndDecision.TARGET_FAILED);
             case INVALID_ANSWER ->
                     Optional.of(
@@ -94,6 +110,11 @@
                 + (endedAt == null ? "" : " ended-before=" + millisecondsSince(endedAt, now));
     }
 
+    /** Describes an answer that was given up, beside that of another target. */
+    String describeGivenUp(Instant now) {
+        return " given-up=" + target + " given-up-before=" + millisecondsSince(endedAt, now);
+    }
+
     private String received() {
         if (endedByTarget) {
             return endedByClose ? "to-close" : "whole";
