Draw targets that pause and planned stops in the soak, and check cut answers

The soak missed that a stopping daemon closes answers whose targets are silent: its targets never paused within an answer, its grace was 2 s with answers of 0.2 s, and it did not look at answers that were cut in a planned stop.

It now plays as long a time of planned work first: stops of one daemon or two, in series that overlap, with reloads, configurations, weights, and targets (one, several, all of a service) that are silent for 0.9 to 2 s and go on. Streams of 1.2 s are sent, also by callers that stay with one daemon until its process closes the connection. Then all faults are drawn as before, with these among them; a daemon that is paused may get SIGTERM before it is resumed. The grace is 4 s, timeouts are 3 and 6 s and gaps 160 ms, so that a daemon takes a target for silent after 0.8 s and a pause ends within the grace. Stand-ins notice a closed connection while they wait, so that recorded times are those of the daemon.

PlannedStopCheck compares what callers and targets recorded with the signals. A request that had reached a target and was cut in a planned stop of its daemon is a violation unless its target broke off or sent wrong bytes, its time was over, its target was at work in the last sixth of the grace, or its daemon or the store was disturbed while it was in progress. The report counts all of them.

A restart of a daemon waits for the process that was ended, not for one that was started since, which held up the end of a run.

--- a/bergamothoist-cli/src/test/java/org/bergamothoist/cli/SoakCommandTest.java
+++ b/bergamothoist-cli/src/test/java/org/bergamothoist/cli/SoakCommandTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.bergamothoist.platform.soak.GatewaySoak;
+import org.bergamothoist.platform.soak.PlannedStopCheck;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -36,7 +37,13 @@
                 new SoakCommand(
                         (settings, logs) ->
                                 new GatewaySoak.Report(
-                                        settings, Map.of(), Map.of(), 0, 0, violations));
+                                        settings,
+                                        Map.of(),
+                                        Map.of(),
+                                        0,
+                                        0,
+                                        new PlannedStopCheck.Result(0, 0, 0, Map.of(), List.of()),
+                                        violations));
         StringWriter out = new StringWriter();
         int code =
                 new CommandLine(command)
