--- a/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
+++ b/bergamothoist-core/src/main/java/org/bergamothoist/core/decision/DecisionKind.java
@@ -46,6 +46,8 @@
      * Requests of a service begin or cease to leave the data centre because its targets are full.
      */
     DATA_CENTRE_CROSSING,
+    /** A target has been silent for long; its request waits, or is sent to another one as well. */
+    TARGET_SILENT,
     /** An attempt at a target failed. */
     ATTEMPT_FAILED,
     /** A peer's connection was closed because of bytes that answer no request. */
@@ -76,6 +78,11 @@
     CONTENT_CLEARED,
     /** A request finished. */
     REQUEST_ENDED,
+    /**
+     * A stopping daemon's connection to a caller ended before the bytes of an answer that was
+     * complete here were all written.
+     */
+    ANSWER_UNWRITTEN,
     /** A request was rejected without being sent to a target. */
     REQUEST_REFUSED,
     /** This daemon began or ended to refuse an organisation's requests for its quota. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/Attempt.java
@@ -37,6 +37,7 @@
     private final TargetSelector.Selection selection;
     private final Exchange exchange;
     private final EngineSample engineSample;
+    private final TargetAnswer answer;
     private ClientConnection connection;
     private Instant sentAt;
     private CrossingRule.Dispatch dispatch;
@@ -45,6 +46,7 @@
     private boolean prefillComplete;
     private boolean successful;
     private boolean provenHarmless;
+    private boolean silenceRecorded;
     private Instant firstByteAt;
     private long discardedBytes;
     private AttemptFailure rejection;
@@ -61,6 +63,7 @@
         this.selection = selection;
         this.exchange = exchange;
         this.engineSample = new EngineSample(dependencies, selection, exchange.request());
+        this.answer = new TargetAnswer(selection.target().id());
     }
 
     String targetId() {
@@ -81,6 +84,7 @@
 
     void start(HttpRequest head, ByteBuf body) {
         engineSample.onStarted();
+        exchange.request().progress().onLatest(answer);
         suspects = dependencies.crashingContents().onStarted(targetId(), exchange::keys);
         dependencies.activeAttempts().add(this);
         dependencies.livenessChecker().onRequest(selection.target());
@@ -106,7 +110,7 @@
             fail(AttemptFailure.NOT_SENT, "" + failure);
             return;
         }
-        if (!exchange.canEndBeforeStop(targetId())) {
+        if (exchange.isRefusedForStop(targetId())) {
             body.release();
             opened.abort();
             fail(AttemptFailure.NOT_SENT, "the daemon stops before the request could end");
@@ -122,7 +126,9 @@
                                 body.readableBytes(),
                                 selection.prefillTokens());
         engineSample.onSent(sentAt);
+        answer.onSent(sentAt);
         opened.send(head, body, answerMatch(), this);
+        exchange.takeover().onSent(this);
     }
 
     /**
@@ -144,6 +150,7 @@
     void setReading(boolean reading) {
         if (connection != null) {
             connection.setReading(reading);
+            answer.onReading(reading);
         }
     }
 
@@ -155,6 +162,7 @@
             return;
         }
         abandoned = true;
+        answer.onAbandoned();
         removeFromTargetLoad();
         if (connection != null) {
             connection.abort();
@@ -169,6 +177,8 @@
     private void removeFromTargetLoad() {
         if (!ended) {
             ended = true;
+            answer.onEnded(dependencies.clock().instant());
+            exchange.request().progress().onLatest(answer);
             completePrefill();
             engineSample.onEnded();
             dependencies.activeAttempts().remove(this);
@@ -185,6 +195,7 @@
 
     @Override
     public boolean onHead(HttpResponse head) {
+        answer.onBytes(dependencies.clock().instant());
         dependencies
                 .livenessChecker()
                 .onAnswer(selection.target(), connection.isAnswerSelfDelimited());
@@ -226,7 +237,7 @@
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
         } else if (status >= FIRST_SERVER_ERROR && !response.signed()) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
-        } else if (status >= FIRST_SERVER_ERROR && exchange.reserveRetry()) {
+        } else if (status >= FIRST_SERVER_ERROR && exchange.reserveRetry(this)) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
         } else if (exchange.relay().isStarted() && !response.isSuccess()) {
             rejectResponse(AttemptFailure.SERVER_ERROR, response);
@@ -264,10 +275,10 @@
 
     private void startRelay(HttpResponse head, boolean success) {
         boolean stream = exchange.request().route().kind().isStream();
+        boolean resumable = stream && success && exchange.request().route().kind().isRetryable();
         successful = success;
+        exchange.takeover().onAnswering(this, resumable);
         if (!exchange.relay().isStarted()) {
-            boolean resumable =
-                    stream && success && exchange.request().route().kind().isRetryable();
             exchange.relay().start(head, resumable);
         }
         if (!stream) {
@@ -279,6 +290,7 @@
     @Override
     public void onContent(ByteBuf content) {
         dispatch.count(content.readableBytes());
+        answer.onBytes(dependencies.clock().instant());
         if (rejection != null) {
             discard(content);
             return;
@@ -304,7 +316,7 @@
             return;
         }
         if (!exchange.relay().isWritable()) {
-            connection.setReading(false);
+            setReading(false);
         }
     }
 
@@ -320,7 +332,12 @@
     /** Ends the attempt, because an event of its stream has no end or no memory is left for it. */
     void endOversizedEvent() {
         connection.abort();
-        fail(AttemptFailure.INVALID_ANSWER, "an event of the stream is too large");
+        if (exchange.relay().isEventTooLarge()) {
+            fail(AttemptFailure.INVALID_ANSWER, "an event of the stream is too large");
+            return;
+        }
+        answer.onOutOfMemory();
+        fail(AttemptFailure.INVALID_ANSWER, "no memory is left for an event of the stream");
     }
 
     /** A target that crashes for a request does so as it begins to answer. */
@@ -351,6 +368,7 @@
             return;
         }
         boolean endedByClose = connection.isAnswerEndedByClose();
+        answer.onComplete(endedByClose);
         if (endedByClose && exchange.relay().isStreamWithoutEvent()) {
             failBroken(AttemptFailure.BROKEN_STREAM, "the event stream ended without an event");
             return;
@@ -409,9 +427,18 @@
         exchange.onAttemptFailed(this, attemptFailure, detail);
     }
 
+    /** Records once that the target has been silent for long, however many others are asked. */
+    void recordSilence() {
+        if (!silenceRecorded) {
+            silenceRecorded = true;
+            recordFailure(AttemptFailure.NO_ANSWER, "silent");
+        }
+    }
+
     /** Records the failure in the target's state and writes it to the log. */
     void recordFailure(AttemptFailure attemptFailure, String detail) {
         Instant now = dependencies.clock().instant();
+        answer.onFailed(attemptFailure);
         if (attemptFailure == AttemptFailure.REFUSED) {
             targetState().recordRefusal(now);
         } else if (attemptFailure == AttemptFailure.SERVER_ERROR) {
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerConnectionHandler.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -22,6 +24,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -29,6 +32,7 @@
 import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.error.ErrorCode;
 import org.bergamothoist.core.route.CallerLimits;
+import org.bergamothoist.core.time.Scheduler;
 import org.bergamothoist.gateway.wire.BodyFraming;
 import org.bergamothoist.gateway.wire.MalformedRequestException;
 import org.bergamothoist.gateway.wire.RequestHead;
@@ -46,7 +50,11 @@
     /** The same for the bytes of their bodies. */
     private static final int MAXIMUM_PIPELINED_BYTES = 64 << 10;
 
-    /** Time for which the rest of a request is read after its response, before the close. */
+    /**
+     * Time for which what the caller still sends is read after the last response, before the close:
+     * the kernel resets a connection that is closed with unread bytes, and drops the rest of the
+     * response.
+     */
     private static final Duration LINGER = Duration.ofSeconds(2);
 
     private static final int BAD_REQUEST = 400;
@@ -64,6 +72,13 @@
     private int unwrittenResponses;
 
     private long lastBytesToWrite;
+
+    /** The bytes that were not yet written to the socket when this daemon closed the connection. */
+    private long bytesToWriteAtClose;
+
+    /** Why this daemon closes the connection, or the caller has if it does not. */
+    private Disconnection disconnection = Disconnection.CALLER_LEFT;
+
     private Channel channel;
     private Exchange exchange;
     private HttpRequest request;
@@ -72,6 +87,15 @@
     private boolean responsePending;
     private boolean closeAfterResponse;
 
+    /** Whether the connection ends once all requests that have been read are answered. */
+    private boolean closeWhenIdle;
+
+    /** Whether the connection ends once its responses are written; what still comes is dropped. */
+    private boolean ending;
+
+    private boolean outputEnded;
+    private Scheduler.Cancellable lingerTimer = () -> {};
+
     /** Whether only the end of the connection shows that the response in progress is complete. */
     private boolean responseEndsByClose;
 
@@ -103,6 +127,9 @@
 
     /** Records the time of bytes from the caller, before they are decoded. */
     void onBytesReceived() {
+        if (ending) {
+            return;
+        }
         lastActiveAt = dependencies.clock().instant();
         if (requestFirstByteAt == null && !receivingRequest) {
             requestFirstByteAt = lastActiveAt;
@@ -111,11 +138,14 @@
 
     /** Rejects a request that arrives too slowly and closes an idle connection. */
     void enforceTimeouts(CallerLimits limits, Instant now) {
+        if (outputEnded) {
+            return;
+        }
         if (responsePending) {
             lastActiveAt = now;
             return;
         }
-        long bytesToWrite = channel.unsafe().outboundBuffer().totalPendingWriteBytes();
+        long bytesToWrite = bytesToWrite();
         if (unwrittenResponses > 0 && bytesToWrite != lastBytesToWrite) {
             lastBytesToWrite = bytesToWrite;
             lastActiveAt = now;
@@ -133,15 +163,32 @@
                             + limits.idleTimeout().toMillis()
                             + " ms");
         } else if (idle) {
-            abort();
+            disconnection = Disconnection.CALLER_IDLE;
+            close();
         }
     }
 
+    /** Returns the bytes of responses that wait in this process for the caller to accept them. */
+    private long bytesToWrite() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? bytesToWriteAtClose : buffer.totalPendingWriteBytes();
+    }
+
+    /** Returns the number of requests that wait for the answer to an earlier one. */
+    long pipelinedRequests() {
+        return pipelinedMessages.stream().filter(HttpRequest.class::isInstance).count();
+    }
+
+    /** Returns whether part of the head of a request has been received. */
+    boolean hasPartialHead() {
+        return requestFirstByteAt != null;
+    }
+
     /** Closes the connection as soon as no request is in progress. */
     void closeWhenIdle() {
-        closeAfterResponse = true;
+        closeWhenIdle = true;
         if (!isBusy() && requestFirstByteAt == null) {
-            channel.close();
+            endConnection();
         }
     }
 
@@ -152,13 +199,20 @@
         }
     }
 
-    /** Returns whether a request is in progress, or bytes of its response are still to be sent. */
+    /** Returns whether a request is in progress or waits, or bytes of its response are unsent. */
     boolean isBusy() {
-        return responsePending || receivingRequest || unwrittenResponses > 0;
+        return responsePending
+                || receivingRequest
+                || unwrittenResponses > 0
+                || !pipelinedMessages.isEmpty();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (ending) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         HttpObject httpObject = (HttpObject) message;
         if (responsePending && !receivingRequest || !pipelinedMessages.isEmpty()) {
             pipelinedMessages.add(httpObject);
@@ -174,6 +228,11 @@
         process(httpObject);
     }
 
+    /** Returns whether a request waits whose head has been read, other than the current one. */
+    private boolean hasPipelinedRequest() {
+        return pipelinedMessages.stream().anyMatch(HttpRequest.class::isInstance);
+    }
+
     private void process(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
@@ -210,13 +269,12 @@
                         () -> reason,
                         String.valueOf(status));
         if (responseSent) {
-            channel.close();
+            endConnection();
             return;
         }
         if (responsePending) {
-            if (exchange != null) {
-                exchange.onCallerDisconnected();
-            }
+            disconnection = Disconnection.CONNECTION_FAULT;
+            onDisconnected();
             channel.close();
             return;
         }
@@ -246,8 +304,12 @@
             reject(BAD_REQUEST, exception.getMessage());
             return;
         }
-        closeAfterResponse = server.isClosingAfterResponses() || !HttpUtil.isKeepAlive(head);
-        RequestContext context = new RequestContext(requestHead, dependencies.clock().instant());
+        closeAfterResponse = !HttpUtil.isKeepAlive(head);
+        RequestContext context =
+                new RequestContext(
+                        requestHead,
+                        dependencies.clock().instant(),
+                        new AnswerProgress(this::bytesToWrite));
         exchange = new Exchange(dependencies, context, head.headers(), this);
         if (!exchange.applyFilters()) {
             return;
@@ -278,9 +340,10 @@
         if (collectingBody) {
             ByteBuf complete = body;
             body = null;
+            exchange.request().progress().onBodyReceived();
             exchange.dispatch(complete, BodyFraming.isExplicit(request));
         } else if (exchange.isEnded() && !responsePending && closeAfterResponse) {
-            channel.close();
+            endConnection();
         } else if (exchange.isEnded() && !responsePending) {
             processPipelinedMessages();
         }
@@ -288,7 +351,8 @@
 
     private boolean appendBody(ByteBuf piece) {
         if (body.readableBytes() + piece.readableBytes() > server.limits().bodyBytes()) {
-            exchange.onCallerDisconnected();
+            disconnection = Disconnection.CONNECTION_FAULT;
+            onDisconnected();
             responsePending = false;
             reject(
                     CONTENT_TOO_LARGE,
@@ -304,7 +368,8 @@
 
     @Override
     public void sendHead(HttpResponse head) {
-        if (server.isClosingAfterResponses()) {
+        // Requests that have been read behind this one are answered before the connection ends.
+        if (server.isClosingAfterResponses() && !hasPipelinedRequest()) {
             closeAfterResponse = true;
         }
         responseEndsByClose = !BodyFraming.isSelfDelimited(head);
@@ -328,16 +393,20 @@
         responseSent = receivingRequest;
         lastActiveAt = dependencies.clock().instant();
         releaseBody();
+        if (closeWhenIdle && !hasPipelinedRequest()) {
+            closeAfterResponse = true;
+        }
         unwrittenResponses++;
-        var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        written.addListener(done -> onResponseWritten());
+        Exchange answered = exchange;
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(done -> onResponseWritten(answered, done.isSuccess()));
         if (closeAfterResponse && receivingRequest) {
             // A close while the request still arrives would reset the response on its way.
-            dependencies.scheduler().schedule(LINGER, channel::close);
+            lingerTimer = dependencies.scheduler().schedule(LINGER, this::endConnection);
             return;
         }
         if (closeAfterResponse) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            endConnection();
             return;
         }
         if (!receivingRequest) {
@@ -346,12 +415,56 @@
         }
     }
 
-    private void onResponseWritten() {
+    private void onResponseWritten(Exchange answered, boolean successful) {
+        if (!successful && answered != null && dependencies.stopDeadline().isStopping()) {
+            new ExchangeLog(dependencies, answered.request()).unwritten(disconnection);
+            dependencies.metrics().countUnwrittenAnswer(disconnection.unwrittenOutcome());
+        }
         unwrittenResponses--;
         lastActiveAt = dependencies.clock().instant();
         if (unwrittenResponses == 0) {
             responseEndsByClose = false;
         }
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection once its responses are written. */
+    private void endConnection() {
+        if (ending) {
+            return;
+        }
+        ending = true;
+        receivingRequest = false;
+        requestFirstByteAt = null;
+        releasePipelinedMessages();
+        channel.config().setAutoRead(true);
+        endOutputOnceWritten();
+    }
+
+    /** Ends the connection's own direction; the caller's is read until it ends, for a while. */
+    private void endOutputOnceWritten() {
+        if (!ending || outputEnded || unwrittenResponses > 0 || !channel.isActive()) {
+            return;
+        }
+        outputEnded = true;
+        lingerTimer.cancel();
+        lingerTimer = dependencies.scheduler().schedule(LINGER, channel::close);
+        ((DuplexChannel) channel)
+                .shutdownOutput()
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Raises the send buffer if bytes wait for space in it. */
+    void raiseSendBuffer(int bytes) {
+        boolean waits = !outputEnded && !channel.isWritable() || unwrittenResponses > 0;
+        if (waits && channel.config().getOption(ChannelOption.SO_SNDBUF) < bytes) {
+            channel.config().setOption(ChannelOption.SO_SNDBUF, bytes);
+        }
+    }
+
+    private void releasePipelinedMessages() {
+        pipelinedMessages.forEach(ReferenceCountUtil::release);
+        pipelinedMessages.clear();
     }
 
     private void startNextRequest() {
@@ -377,6 +490,26 @@
 
     @Override
     public void abort() {
+        disconnection = Disconnection.LATER_ANSWER_BROKEN;
+        close();
+    }
+
+    /** Ends whatever is in progress on the connection and closes it. */
+    void abortAtGraceEnd() {
+        disconnection = Disconnection.GRACE_ENDED;
+        onDisconnected();
+        close();
+    }
+
+    private void onDisconnected() {
+        if (exchange != null && !exchange.isEnded()) {
+            exchange.request().progress().onDisconnected(disconnection);
+            exchange.onCallerDisconnected(disconnection);
+        }
+    }
+
+    private void close() {
+        bytesToWriteAtClose = bytesToWrite();
         if (responseEndsByClose) {
             // Without a length or chunks, only a reset shows that the response is not complete.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
@@ -404,12 +537,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         server.remove(this);
-        if (exchange != null) {
-            exchange.onCallerDisconnected();
-        }
+        onDisconnected();
         releaseBody();
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
+        releasePipelinedMessages();
+        lingerTimer.cancel();
     }
 
     /** Releases what has been received of a body that is not dispatched. */
@@ -429,6 +560,9 @@
                         String.valueOf(context.channel().remoteAddress()),
                         () -> "" + cause,
                         "connection closed");
-        abort();
+        if (!(cause instanceof IOException)) {
+            disconnection = Disconnection.CONNECTION_FAULT;
+        }
+        close();
     }
 }
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/CallerServer.java
@@ -2,17 +2,21 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SortedMap;
+import org.bergamothoist.core.decision.DecisionKind;
 import org.bergamothoist.core.route.CallerLimits;
 import org.bergamothoist.core.route.ConfigurationHolder;
 import org.bergamothoist.core.route.RouteConfiguration;
@@ -123,9 +127,54 @@
         List.copyOf(connections).forEach(CallerConnectionHandler::refuseIfStoppingTooSoon);
     }
 
-    /** Closes all connections; a response in progress does not look complete. */
-    public void abortConnections() {
-        List.copyOf(connections).forEach(CallerConnectionHandler::abort);
+    /**
+     * Lets the kernel take as much as it can of what slow readers have not received yet: it goes on
+     * sending that after the end of the process.
+     */
+    public void raiseSendBuffers() {
+        try {
+            int largest = LargestSendBuffer.bytes();
+            List.copyOf(connections).forEach(connection -> connection.raiseSendBuffer(largest));
+        } catch (IOException | ChannelException exception) {
+            dependencies
+                    .log()
+                    .write(
+                            DecisionKind.CALLER_FAULT,
+                            "send buffers",
+                            () -> "" + exception,
+                            "slow readers may lose what the daemon still holds");
+        }
+    }
+
+    /**
+     * Closes all connections at the end of the grace; a response in progress does not look
+     * complete. What this ends has been logged when the method returns.
+     *
+     * @return the number of answers that this ended without their last byte
+     */
+    public long abortConnections() {
+        long before = countEndings();
+        List.copyOf(connections).forEach(CallerConnectionHandler::abortAtGraceEnd);
+        return countEndings() - before;
+    }
+
+    private long countEndings() {
+        return endings().values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Returns the numbers of requests that have ended, by outcome. */
+    public SortedMap<String, Long> endings() {
+        return dependencies.metrics().endings();
+    }
+
+    /** Returns the number of requests that wait behind another one on their connection. */
+    public long pipelinedRequests() {
+        return connections.stream().mapToLong(CallerConnectionHandler::pipelinedRequests).sum();
+    }
+
+    /** Returns the number of connections on which part of a request's head has been received. */
+    public long connectionsWithPartialHead() {
+        return connections.stream().filter(CallerConnectionHandler::hasPartialHead).count();
     }
 
     /** Returns the number of connections with a request in progress. */
--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/caller/RequestContext.java
@@ -17,6 +17,7 @@
 
     private final RequestHead head;
     private final Instant arrivedAt;
+    private final AnswerProgress progress;
     private RouteConfiguration configuration;
     private Route route;
     private Organisation organisation;
@@ -24,9 +25,10 @@
     private StreamTiming streamTiming;
 
     /** Creates the context of a request that has just arrived. */
-    public RequestContext(RequestHead head, Instant arrivedAt) {
+    RequestContext(RequestHead head, Instant arrivedAt, AnswerProgress progress) {
         this.head = head;
         this.arrivedAt = arrivedAt;
+        this.progress = progress;
     }
 
     public RequestHead head() {
@@ -37,6 +39,10 @@
         return arrivedAt;
     }
 
+    AnswerProgress progress() {
+        return progress;
+    }
+
     public RouteConfiguration configuration() {
         return configuration;
     }
@@ -74,12 +80,10 @@
     /**
      * Charges the organisation's quota for what may have run when the request has ended, and
      * returns the rest.
-     *
-     * @param last the attempt in progress at the end, or null if there was none
      */
-    void settleQuota(RetryPolicy.History history, Attempt last) {
-        boolean lastSent = last != null && last.wasSent();
-        quotaCharge.setRuns(history.attemptsPossiblyRun() + (lastSent ? 1 : 0));
+    void settleQuota(RequestAttempts attempts) {
+        boolean currentSent = attempts.hasCurrent() && attempts.current().wasSent();
+        quotaCharge.setRuns(attempts.history().attemptsPossiblyRun() + (currentSent ? 1 : 0));
     }
 
     /** Returns the timing of the stream that answers the request, whose route is known. */
