Let a gateway that has stopped be asked to stop again

Cause: a second call of stop() more than two seconds after the end threw RejectedExecutionException, since the event loop was gone (seen at load 20 in PlannedStopConnectionsTest, whose fixture stops what a test has stopped). Change: nothing is executed once the stop is complete.

--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/Gateway.java
@@ -569,7 +569,9 @@
     /** Stops: takes no new callers, finishes what is in progress, and completes the stage. */
     public CompletionStage<Void> stop() {
         plannedStop.request();
-        eventLoop.execute(this::beginStop);
+        if (!stopped.isDone()) {
+            eventLoop.execute(this::beginStop);
+        }
         return stopped;
     }
 
