--- a/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/StructuredDecisionLog.java
+++ b/bergamothoist-gateway/src/main/java/org/bergamothoist/gateway/control/StructuredDecisionLog.java
@@ -43,6 +43,9 @@
     private long suppressedInWindow;
     private int maximumLines = MAXIMUM_LINES;
 
+    /** Whether the last line has been written; what follows comes of closed connections only. */
+    private boolean complete;
+
     /**
      * Creates a log.
      *
@@ -58,9 +61,12 @@
 
     @Override
     public void write(DecisionKind kind, String subject, Supplier<String> inputs, String outcome) {
+        if (complete) {
+            return;
+        }
+        complete = kind == DecisionKind.DAEMON_STOPPED;
         Instant now = wallClock.instant();
-        boolean last = kind == DecisionKind.DAEMON_STOPPED;
-        if (last || now.isAfter(windowStart.plus(WINDOW)) || now.isBefore(windowStart)) {
+        if (complete || now.isAfter(windowStart.plus(WINDOW)) || now.isBefore(windowStart)) {
             startWindow(now);
         }
         if (kind == DecisionKind.DAEMON_STOPPING) {
--- a/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/StructuredDecisionLogTest.java
+++ b/bergamothoist-gateway/src/test/java/org/bergamothoist/gateway/control/StructuredDecisionLogTest.java
@@ -92,4 +92,12 @@
         assertThat(last.get(0)).contains("\"event\":\"lines-suppressed\"", "lines=100");
         assertThat(last.get(1)).contains("\"event\":\"daemon-stopped\"");
     }
+
+    /** Guards against lines behind the last one, from connections that the end has closed. */
+    @Test
+    void nothingIsWrittenAfterTheLastLine() {
+        log.write(DecisionKind.DAEMON_STOPPED, "daemon-1", () -> "", "stopped");
+        log.write(DecisionKind.DEPENDENCY_LOST, "store", () -> "", "not read");
+        assertThat(appender.lines).hasSize(1);
+    }
 }
